Add the design page, the build and the base, telemetry and settings libraries

The repository was empty.

inih cuts section names at 49 characters without an error and passes over empty sections, so ini_document records sections itself; a test guards both.

--- /dev/null
+++ b/libraries/telemetry/log.h
@@ -0,0 +1,32 @@
+#ifndef LIBRARIES_TELEMETRY_LOG_H_
+#define LIBRARIES_TELEMETRY_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushshore {
+
+enum class log_level { kDebug, kInfo, kWarning, kError };
+
+struct log_field {
+  std::string name;
+  nlohmann::json value;
+};
+
+// Sends log lines to the standard error stream from `minimum` upwards.
+// Precondition: called once, before the first LogEvent(). Not thread safe.
+void ConfigureLogging(log_level minimum);
+
+// Writes one JSON object on a line of its own, with the fields "time", "level"
+// and "event" followed by `fields`. Thread safe.
+void LogEvent(log_level level,
+              std::string_view event,
+              std::initializer_list<log_field> fields = {});
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_TELEMETRY_LOG_H_
