Add the host-to-host messages, membership by gossip and service discovery

Cause: hosts need to know each other without a load balancer, a second coordination service or a call to the store per request.

Change: the peer_protocol library holds typed CBOR messages whose fields are all checked, and a messenger that matches replies to requests. The membership library holds the view, failure detection through other hosts, gossip with a view hash, the actor that runs the rounds, host assignment by rendezvous hashing and the discovery response. Key generation and catalog version travel apart from the records, because a new version changes them on every host. The types of host_directory.h move to peer_protocol/host_record.h, so that the protocol does not depend on membership.

--- /dev/null
+++ b/libraries/membership/discovery_response.h
@@ -0,0 +1,47 @@
+#ifndef LIBRARIES_MEMBERSHIP_DISCOVERY_RESPONSE_H_
+#define LIBRARIES_MEMBERSHIP_DISCOVERY_RESPONSE_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/base/result.h"
+#include "libraries/catalog/types.h"
+#include "libraries/membership/host_assignment.h"
+#include "libraries/peer_protocol/host_record.h"
+
+namespace bulrushshore {
+
+struct discovery_options {
+  assignment_rules rules;
+  // How long callers may use the response.
+  std::chrono::milliseconds ttl{5000};
+};
+
+struct discovery_query {
+  std::string service;
+  // Availability zone of the caller; empty if it gave none.
+  std::string zone;
+  // Text that differs between callers, for example their IP address and port.
+  // It fixes the order within a zone, so that the callers of a lost host spread
+  // over the remaining ones instead of gathering on the next.
+  std::string caller;
+};
+
+// Returns the key prefix that callers of `host` put in front of their own part
+// of an idempotency key. Thread safe.
+std::string KeyPrefix(const host_record& host);
+
+// Returns the JSON text that answers `query`: the hosts that serve the service,
+// those of the caller's zone first. Hosts that are leaving, suspected or lost,
+// and hosts that suspect themselves while others do not, are left out.
+// kNotFound for a service that `catalog` does not have. Thread safe.
+result<std::string> DiscoveryResponse(const discovery_query& query,
+                                      const std::vector<host_record>& hosts,
+                                      const catalog_snapshot& catalog,
+                                      const discovery_options& options);
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_MEMBERSHIP_DISCOVERY_RESPONSE_H_
