--- a/libraries/catalog/types.h
+++ b/libraries/catalog/types.h
@@ -23,7 +23,7 @@
   std::uint32_t queue_limit = 200;
   // Longest time that a request waits in the queue.
   std::chrono::milliseconds patience{500};
-  std::uint64_t max_body_bytes = 1024 * 1024;
+  std::uint64_t max_body_bytes = 1'048'576;
 
   bool operator==(const service&) const = default;
 };
--- a/services/host_daemon/daemon_settings.cc
+++ b/services/host_daemon/daemon_settings.cc
@@ -117,7 +117,7 @@
   }
 
   std::string Identifier(std::string_view section, std::string_view key) {
-    const std::string value = reader_.RequiredString(section, key);
+    std::string value = reader_.RequiredString(section, key);
     const ini_entry* const entry = reader_.Entry(section, key);
     if (entry != nullptr && !value.empty() && !IsIdentifier(value)) {
       reader_.AddError(entry->line,
--- a/services/host_daemon/daemon_settings.h
+++ b/services/host_daemon/daemon_settings.h
@@ -42,7 +42,7 @@
   std::optional<std::string> previous_peer_key;
 };
 
-inline constexpr std::size_t kMaxSettingsBytes = 64 * 1024;
+inline constexpr std::size_t kMaxSettingsBytes = 65'536;
 
 // Checks `text` as a whole; every fault is reported. Thread safe.
 std::variant<daemon_settings, line_errors> ParseDaemonSettings(
