Add the request path: routing, key table and proxy

Cause: the host needs a way from the accepted request to the relayed response, with at-most-once execution for keyed requests.

Change: route table and strict request targets; key format, table, hand-over encoding and the actor that owns the table; caller server, target client, attempts with retries, key forwarding, claims for foreign keys, outcomes and the proxy_service that the daemon constructs.

--- /dev/null
+++ b/libraries/proxy/caller_connection.h
@@ -0,0 +1,85 @@
+#ifndef LIBRARIES_PROXY_CALLER_CONNECTION_H_
+#define LIBRARIES_PROXY_CALLER_CONNECTION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "libraries/base/clock.h"
+#include "libraries/proxy/http_message.h"
+#include "libraries/proxy/outcome.h"
+#include "libraries/proxy/request_head.h"
+
+namespace bulrushshore {
+
+struct caller_limits {
+  // Longest time between two requests on one connection.
+  std::chrono::milliseconds idle_time{2000};
+  // Longest time from the first byte of a request to its empty line.
+  std::chrono::milliseconds head_time{5000};
+  std::chrono::milliseconds body_time{10'000};
+  std::chrono::milliseconds write_time{10'000};
+  std::size_t max_body_bytes = std::size_t{1024} * 1024;
+};
+
+// The peer closed the connection, or sent nothing within the idle time.
+struct connection_ended {};
+
+// A connection from a caller. It frames messages itself, because cpp-httplib's
+// server interprets what a proxy has to pass on unchanged: it decodes
+// compressed and multipart bodies, cuts ranges out of responses, compresses
+// them, and accepts repeated Content-Length fields. Not thread safe.
+class caller_connection {
+ public:
+  // Preconditions: `source` outlives this object; `socket` stays open as long
+  // as this object and is not closed by it.
+  caller_connection(int socket,
+                    const caller_limits& limits,
+                    const clock& source);
+
+  // Waits until the first byte of a request is there, at most for the idle
+  // time; returns false if none came.
+  bool WaitForRequest();
+
+  // Reads a whole request. After a failure_point the connection must be closed,
+  // because the end of the request is not known.
+  std::variant<request_head, failure_point, connection_ended> ReadRequest();
+
+  // Writes a response framed by Content-Length; returns false if the peer did
+  // not take it. `method` is that of the request.
+  bool WriteResponse(const http_response& response,
+                     std::string_view method,
+                     bool is_last);
+
+  // Ends the sending side and discards what still arrives for a short time, so
+  // that the peer can read the last response before a reset.
+  void FinishSending();
+
+ private:
+  using failure = std::optional<failure_point>;
+
+  // Receives more bytes into the buffer; false at the end or the deadline.
+  bool Receive(time_point deadline);
+  bool Send(std::string_view data, time_point deadline);
+  failure ReadBody(request_head& head);
+  failure ReadSizedBody(std::uint64_t size,
+                        time_point deadline,
+                        std::string& body);
+  failure ReadChunkedBody(time_point deadline, std::string& body);
+  // Returns the next line without CRLF, or nothing if it is faulty or late.
+  std::optional<std::string> ReadLine(time_point deadline);
+  bool SkipTrailers(time_point deadline);
+
+  const int socket_;
+  const caller_limits limits_;
+  const clock& clock_;
+  std::string buffer_;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_PROXY_CALLER_CONNECTION_H_
--- /dev/null
+++ b/libraries/proxy/caller_server.cc
@@ -0,0 +1,349 @@
+#include "libraries/proxy/caller_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <httplib.h>
+
+#include "libraries/proxy/exchange_stream.h"
+#include "libraries/telemetry/log.h"
+
+namespace bulrushshore {
+namespace {
+
+constexpr std::size_t kMaxRequestIdBytes = 64;
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+
+bool IsRequestId(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxRequestIdBytes &&
+         text.find_first_not_of(
+             "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+             "0123456789._-") == std::string_view::npos;
+}
+
+// Set on the accepting thread while it runs a task that found no room.
+thread_local bool is_overflow = false;
+
+}  // namespace
+
+// Accepts connections and hands their sockets to the caller_server.
+class caller_server::listener : public httplib::Server {
+ public:
+  explicit listener(caller_server& owner) : owner_(owner) {
+    set_tcp_nodelay(true);
+    new_task_queue = [&owner] { return new task_queue(owner); };
+  }
+
+  // The library listens with a backlog of 5; listening again replaces it.
+  bool SetBacklog(int backlog) { return ::listen(svr_sock_, backlog) == 0; }
+
+ private:
+  class task_queue : public httplib::TaskQueue {
+   public:
+    explicit task_queue(caller_server& owner) : owner_(owner) {}
+
+    void enqueue(std::function<void()> task) override {
+      if (!owner_.workers_.Submit(task)) {
+        is_overflow = true;
+        task();
+        is_overflow = false;
+        return;
+      }
+      if (owner_.workers_.HasWaitingTasks()) {
+        owner_.CloseLongestIdle();
+      }
+    }
+
+    void shutdown() override { owner_.workers_.Shutdown(); }
+
+   private:
+    caller_server& owner_;
+  };
+
+  bool process_and_close_socket(socket_t socket) override {
+    if (is_overflow) {
+      owner_.OnOverflow(socket);
+    } else {
+      owner_.OnConnection(socket);
+    }
+    return true;
+  }
+
+  caller_server& owner_;
+};
+
+caller_server::caller_server(const caller_server_options& options,
+                             const clock& source,
+                             request_handler& handler,
+                             metric_registry& metrics)
+    : options_(options),
+      clock_(source),
+      handler_(handler),
+      connections_(metrics.GetCounter("bulrush_proxy_connections_total",
+                                      "Connections accepted from callers.")),
+      rejected_connections_(metrics.GetCounter(
+          "bulrush_proxy_rejected_connections_total",
+          "Connections closed because all threads were busy.")),
+      idle_closed_(
+          metrics.GetCounter("bulrush_proxy_idle_connections_closed_total",
+                             "Idle connections closed to free their threads.")),
+      requests_in_flight_(metrics.GetGauge("bulrush_proxy_requests_in_flight",
+                                           "Requests being served.")),
+      random_(seeded_random::FromSystemEntropy()),
+      workers_(options.max_threads, options.max_pending_connections),
+      listener_(std::make_unique<listener>(*this)) {}
+
+caller_server::~caller_server() {
+  BeginShutdown();
+  if (accept_thread_.joinable()) {
+    StopAccepting();
+    CutOffAll();
+    accept_thread_.join();
+  }
+}
+
+status caller_server::Start() {
+  const std::string& ip = options_.address.ip;
+  int port = options_.address.port;
+  if (port == 0) {
+    port = listener_->bind_to_any_port(ip);
+  } else if (!listener_->bind_to_port(ip, port)) {
+    port = -1;
+  }
+  if (port <= 0 || !listener_->SetBacklog(options_.listen_backlog)) {
+    return error{error_code::kUnavailable,
+                 "cannot bind " + FormatEndpoint(options_.address)};
+  }
+  port_ = static_cast<std::uint16_t>(port);
+  is_accepting_ = true;
+  accept_thread_ = std::thread([this] { Accept(); });
+  // The library's stop() has no effect before its loop runs.
+  while (!listener_->is_running()) {
+    std::this_thread::yield();
+  }
+  return OkStatus();
+}
+
+void caller_server::Accept() {
+  listener_->listen_after_bind();
+  is_accepting_ = false;
+  if (!IsStopping()) {
+    // FIXME: Bind and accept again. The library ends its loop at errors of
+    // accept(2) other than EMFILE.
+    LogEvent(log_level::kError, "accept_loop_ended", {{"port", port_}});
+  }
+}
+
+void caller_server::StopAccepting() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (std::exchange(is_listener_stopped_, true)) {
+      return;
+    }
+  }
+  listener_->stop();
+}
+
+void caller_server::BeginShutdown() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_stopping_ = true;
+  }
+  CloseAllIdle();
+}
+
+shutdown_report caller_server::WaitUntilIdle(std::chrono::milliseconds limit) {
+  BeginShutdown();
+  StopAccepting();
+  {
+    std::unique_lock<std::mutex> lock(mutex_);
+    const bool is_idle = connection_closed_.wait_for(
+        lock, limit, [this] { return open_.empty(); });
+    if (is_idle) {
+      return {true, {}};
+    }
+  }
+  shutdown_report report;
+  report.cut_request_ids = CutOffAll();
+  report.is_idle = report.cut_request_ids.empty();
+  return report;
+}
+
+std::size_t caller_server::RequestsInFlight() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return static_cast<std::size_t>(std::count_if(
+      open_.begin(), open_.end(),
+      [](const std::unordered_map<int, open_connection>::value_type& entry) {
+        return !entry.second.is_idle;
+      }));
+}
+
+void caller_server::OnOverflow(int socket) {
+  rejected_connections_.Increment();
+  caller_limits no_wait = options_.limits;
+  no_wait.write_time = std::chrono::milliseconds(0);
+  caller_connection connection(socket, no_wait, clock_);
+  connection.WriteResponse(handler_.Reject(failure_point::kThreadsExhausted),
+                           "GET", true);
+  ::shutdown(socket, SHUT_RDWR);
+  ::close(socket);
+}
+
+void caller_server::OnConnection(int socket) {
+  connections_.Increment();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    open_[socket] = {true, false, clock_.Now(), {}};
+  }
+  Serve(socket);
+  {
+    // Under the lock, so that nobody shuts down a later socket with this
+    // number.
+    const std::lock_guard<std::mutex> lock(mutex_);
+    open_.erase(socket);
+    ::shutdown(socket, SHUT_RDWR);
+    ::close(socket);
+  }
+  connection_closed_.notify_all();
+}
+
+void caller_server::Serve(int socket) {
+  caller_connection connection(socket, options_.limits, clock_);
+  if (IsStopping()) {
+    CloseAllIdle();
+  }
+  while (connection.WaitForRequest()) {
+    if (!ServeOne(socket, connection)) {
+      return;
+    }
+    MarkIdle(socket);
+    if (IsStopping()) {
+      CloseAllIdle();
+    }
+  }
+}
+
+bool caller_server::ServeOne(int socket, caller_connection& connection) {
+  MarkActive(socket);
+  std::variant<request_head, failure_point, connection_ended> read =
+      connection.ReadRequest();
+  if (std::holds_alternative<connection_ended>(read)) {
+    return false;
+  }
+  if (const failure_point* point = std::get_if<failure_point>(&read)) {
+    connection.WriteResponse(handler_.Reject(*point), "GET", true);
+    connection.FinishSending();
+    return false;
+  }
+  request_head& head = std::get<request_head>(read);
+  const std::string method = head.request.method;
+  const http_response response = Respond(socket, head);
+  const bool is_last = !head.is_keep_alive || MustCloseAfterResponse(socket);
+  const bool is_written = connection.WriteResponse(response, method, is_last);
+  if (is_written && is_last) {
+    connection.FinishSending();
+  }
+  return is_written && !is_last;
+}
+
+http_response caller_server::Respond(int socket, request_head& head) {
+  const std::string request_id = RequestIdOf(head.request.headers);
+  head.request.headers.Set(kRequestIdHeader, request_id);
+  const int caller_socket = SetRequestId(socket, request_id);
+  requests_in_flight_.Add(1);
+  http_response response =
+      handler_.Handle(std::move(head.request), caller_socket);
+  requests_in_flight_.Add(-1);
+  response.headers.Set(kRequestIdHeader, request_id);
+  return response;
+}
+
+void caller_server::MarkActive(int socket) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  open_[socket].is_idle = false;
+}
+
+int caller_server::SetRequestId(int socket, const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  open_connection& connection = open_[socket];
+  connection.request_id = request_id;
+  return connection.is_read_closed ? kNoSocket : socket;
+}
+
+bool caller_server::MustCloseAfterResponse(int socket) const {
+  if (workers_.IsUnderPressure()) {
+    return true;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return is_stopping_ || open_.at(socket).is_read_closed;
+}
+
+void caller_server::MarkIdle(int socket) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  open_connection& connection = open_[socket];
+  connection.is_idle = true;
+  connection.request_id.clear();
+  connection.idle_since = clock_.Now();
+}
+
+void caller_server::CloseLongestIdle() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::pair<const int, open_connection>* longest = nullptr;
+  for (std::pair<const int, open_connection>& entry : open_) {
+    const bool is_candidate =
+        entry.second.is_idle && !entry.second.is_read_closed;
+    if (is_candidate &&
+        (longest == nullptr ||
+         entry.second.idle_since < longest->second.idle_since)) {
+      longest = &entry;
+    }
+  }
+  if (longest == nullptr) {
+    return;
+  }
+  // Ends the wait for the next request. One that arrived before is served.
+  longest->second.is_read_closed = true;
+  ::shutdown(longest->first, SHUT_RD);
+  idle_closed_.Increment();
+}
+
+void caller_server::CloseAllIdle() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (std::pair<const int, open_connection>& entry : open_) {
+    if (entry.second.is_idle && !entry.second.is_read_closed) {
+      entry.second.is_read_closed = true;
+      ::shutdown(entry.first, SHUT_RD);
+    }
+  }
+}
+
+std::vector<std::string> caller_server::CutOffAll() {
+  std::vector<std::string> request_ids;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (std::pair<const int, open_connection>& entry : open_) {
+    if (!entry.second.request_id.empty()) {
+      request_ids.push_back(entry.second.request_id);
+    }
+    ::shutdown(entry.first, SHUT_RDWR);
+  }
+  return request_ids;
+}
+
+bool caller_server::IsStopping() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return is_stopping_;
+}
+
+std::string caller_server::RequestIdOf(const header_list& headers) {
+  const std::optional<std::string> given = headers.Find(kRequestIdHeader);
+  if (given.has_value() && IsRequestId(*given)) {
+    return *given;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return FormatHex(random_.Next());
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/proxy/http_message.cc
@@ -0,0 +1,128 @@
+#include "libraries/proxy/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace bulrushshore {
+namespace {
+
+constexpr std::array<std::string_view, 11> kConnectionHeaders = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Trailer",
+    "Proxy-Connection",
+    "Proxy-Authorization",
+    "TE",
+    "Transfer-Encoding",
+    "Upgrade",
+    "HTTP2-Settings",
+    "Content-Length"};
+
+char LowerCase(char character) {
+  return character >= 'A' && character <= 'Z'
+             ? static_cast<char>(character - 'A' + 'a')
+             : character;
+}
+
+std::vector<std::string> SplitList(std::string_view list) {
+  std::vector<std::string> elements;
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    const std::string_view element = TrimWhitespace(list.substr(0, comma));
+    if (!element.empty()) {
+      elements.emplace_back(element);
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    list.remove_prefix(comma + 1);
+  }
+  return elements;
+}
+
+}  // namespace
+
+void header_list::Add(std::string_view name, std::string_view value) {
+  fields_.push_back({std::string(name), std::string(value)});
+}
+
+void header_list::Set(std::string_view name, std::string_view value) {
+  Remove(name);
+  Add(name, value);
+}
+
+void header_list::Remove(std::string_view name) {
+  std::erase_if(fields_, [name](const http_header& field) {
+    return EqualsIgnoringCase(field.name, name);
+  });
+}
+
+std::optional<std::string> header_list::Find(std::string_view name) const {
+  const auto found = std::find_if(fields_.begin(), fields_.end(),
+                                  [name](const http_header& field) {
+                                    return EqualsIgnoringCase(field.name, name);
+                                  });
+  return found == fields_.end() ? std::nullopt
+                                : std::optional<std::string>(found->value);
+}
+
+std::size_t header_list::Count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(), [name](const http_header& field) {
+        return EqualsIgnoringCase(field.name, name);
+      }));
+}
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](char first, char second) {
+                      return LowerCase(first) == LowerCase(second);
+                    });
+}
+
+std::string_view TrimWhitespace(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool HasListElement(std::string_view list, std::string_view token) {
+  const std::vector<std::string> elements = SplitList(list);
+  return std::any_of(elements.begin(), elements.end(),
+                     [token](const std::string& element) {
+                       return EqualsIgnoringCase(element, token);
+                     });
+}
+
+void RemoveHopByHopHeaders(header_list& headers) {
+  std::vector<std::string> named;
+  for (const http_header& field : headers.fields()) {
+    if (EqualsIgnoringCase(field.name, "Connection")) {
+      const std::vector<std::string> elements = SplitList(field.value);
+      named.insert(named.end(), elements.begin(), elements.end());
+    }
+  }
+  for (const std::string& name : named) {
+    headers.Remove(name);
+  }
+  for (const std::string_view name : kConnectionHeaders) {
+    headers.Remove(name);
+  }
+}
+
+std::optional<std::uint64_t> ParseDecimal(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* const end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, value);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/proxy/target_client.cc
@@ -0,0 +1,116 @@
+#include "libraries/proxy/target_client.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace bulrushshore {
+
+target_client::target_client(const target_client_options& options,
+                             const clock& source)
+    : options_(options), clock_(source), last_sweep_(source.Now()) {}
+
+exchange_result target_client::Exchange(exchange_request request) {
+  const std::chrono::milliseconds remaining =
+      ToMilliseconds(request.deadline - clock_.Now());
+  if (remaining <= std::chrono::milliseconds(0)) {
+    return {failure_point::kNothingSent, false};
+  }
+  std::unique_ptr<target_connection> connection = TakeConnection(request);
+  if (connection == nullptr) {
+    return {failure_point::kConnectionLimit, false};
+  }
+  request.message.headers.Set("X-Request-Deadline-Ms",
+                              std::to_string(remaining.count()));
+  exchange_result result;
+  result.was_connection_reused = connection->IsReusable();
+  result.outcome = connection->Exchange(request.message, request.deadline,
+                                        request.cancel_socket);
+  ReturnConnection(request.address, std::move(connection));
+  return result;
+}
+
+std::size_t target_client::ConnectionCount() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::size_t count = 0;
+  for (const std::pair<const endpoint, target_pool>& pool : pools_) {
+    count += pool.second.in_use + pool.second.idle.size();
+  }
+  return count;
+}
+
+void target_client::CloseIdleConnections() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (std::pair<const endpoint, target_pool>& pool : pools_) {
+    pool.second.idle.clear();
+  }
+}
+
+std::unique_ptr<target_connection> target_client::TakeConnection(
+    const exchange_request& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  CloseExpired(clock_.Now());
+  target_pool& pool = pools_[request.address];
+  if (!request.needs_new_connection) {
+    std::unique_ptr<target_connection> pooled = TakeIdle(pool);
+    if (pooled != nullptr) {
+      ++pool.in_use;
+      return pooled;
+    }
+  }
+  const std::size_t limit =
+      std::min(options_.max_connections_per_target, request.max_connections);
+  if (pool.in_use >= limit) {
+    return nullptr;
+  }
+  if (pool.in_use + pool.idle.size() >= limit) {
+    pool.idle.erase(pool.idle.begin());
+  }
+  ++pool.in_use;
+  return std::make_unique<target_connection>(request.address, options_.limits,
+                                             clock_);
+}
+
+std::unique_ptr<target_connection> target_client::TakeIdle(target_pool& pool) {
+  while (!pool.idle.empty()) {
+    // The most recently used connection is the least likely to be stale.
+    std::unique_ptr<target_connection> connection =
+        std::move(pool.idle.back().connection);
+    pool.idle.pop_back();
+    if (connection->IsReusable()) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void target_client::ReturnConnection(
+    const endpoint& address,
+    std::unique_ptr<target_connection> connection) {
+  const bool is_reusable = connection->IsReusable();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  target_pool& pool = pools_[address];
+  --pool.in_use;
+  if (is_reusable &&
+      pool.idle.size() < options_.max_idle_connections_per_target) {
+    pool.idle.push_back({std::move(connection), clock_.Now()});
+  }
+}
+
+void target_client::CloseExpired(time_point now) {
+  constexpr int kSweepsPerIdleTime = 4;
+  if (now - last_sweep_ < options_.max_idle_time / kSweepsPerIdleTime) {
+    return;
+  }
+  last_sweep_ = now;
+  for (std::pair<const endpoint, target_pool>& pool : pools_) {
+    std::erase_if(pool.second.idle, [&](const idle_connection& idle) {
+      return now - idle.since >= options_.max_idle_time;
+    });
+  }
+  std::erase_if(pools_, [](const std::pair<const endpoint, target_pool>& pool) {
+    return pool.second.in_use == 0 && pool.second.idle.empty();
+  });
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/tests/proxy/request_path_test.cc
@@ -0,0 +1,51 @@
+#include <gtest/gtest.h>
+
+#include "tests/proxy/proxy_fixture.h"
+
+namespace bulrushshore {
+namespace {
+
+// Guards against a response that does not reach its caller whole.
+TEST(RequestPathTest, RelaysTheResponseOfTheTarget) {
+  scripted_target* self = nullptr;
+  scripted_target target({[&self](raw_connection& connection) {
+    self->Answer(PlainResponse(200, "found", "X-Load: 3\r\nETag: e\r\n"))(
+        connection);
+  }});
+  self = &target;
+  proxy_fixture fixture({target.port()});
+  const std::string response = fixture.Get("/lookup/7?x=1");
+  EXPECT_EQ(StatusOf(response), 200);
+  EXPECT_TRUE(response.ends_with("\r\n\r\nfound"));
+  EXPECT_EQ(HeaderOf(response, "X-Outcome"), "answered");
+  EXPECT_EQ(HeaderOf(response, "X-Served-By"), "host-1");
+  EXPECT_EQ(HeaderOf(response, "ETag"), "e");
+  EXPECT_EQ(HeaderOf(response, "X-Load"), "");
+  ASSERT_EQ(target.Requests().size(), 1U);
+  EXPECT_TRUE(target.Requests()[0].starts_with("GET /lookup/7?x=1 HTTP/1.1"));
+  EXPECT_NE(HeaderOf(target.Requests()[0], "X-Request-Deadline-Ms"), "");
+  ASSERT_EQ(fixture.targets.Reports().size(), 1U);
+  EXPECT_EQ(fixture.targets.Reports()[0].reported_load, 3U);
+  EXPECT_TRUE(fixture.targets.IsBalanced());
+}
+
+// Guards against a certificate that is issued again when its caller asks again.
+TEST(RequestPathTest, AnswersAKeyAgainWithoutRunningIt) {
+  scripted_target* self = nullptr;
+  scripted_target target({[&self](raw_connection& connection) {
+    self->Answer(PlainResponse(201, "paper 1"))(connection);
+  }});
+  self = &target;
+  proxy_fixture fixture({target.port()});
+  const std::string key =
+      "Idempotency-Key: " + std::string(kTestKeyPrefix) + "one\r\n";
+  const std::string first = fixture.Post("/issue", "bag 1", key);
+  const std::string second = fixture.Post("/issue", "bag 1", key);
+  EXPECT_EQ(StatusOf(first), 201);
+  EXPECT_EQ(StatusOf(second), 201);
+  EXPECT_TRUE(second.ends_with("paper 1"));
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
+}  // namespace
+}  // namespace bulrushshore
