--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -4,6 +4,9 @@
 #include <chrono>
 
 #include <caf/actor_clock.hpp>
+// actor_clock.hpp only declares caf::error, which clang-tidy takes for a
+// mistaken declaration of bulrushshore::error unless the definition is seen.
+#include <caf/error.hpp>
 
 namespace bulrushshore {
 
