--- a/libraries/idempotency/idempotency_key.h
+++ b/libraries/idempotency/idempotency_key.h
@@ -25,7 +25,7 @@
   // 1 to kMaxCallerPartBytes of [A-Za-z0-9_-].
   std::string caller_part;
 
-  auto operator<=>(const idempotency_key&) const = default;
+  bool operator==(const idempotency_key&) const = default;
 };
 
 // Returns true if `text` claims to be in the own format. Such a text that
--- a/libraries/idempotency/key_owner.cc
+++ b/libraries/idempotency/key_owner.cc
@@ -97,7 +97,8 @@
 
   void Wait(const claim_message& message, caf::response_promise promise) {
     const std::uint64_t id = ++last_waiting_id_;
-    waiting_[message.key].push_back({id, std::move(promise)});
+    waiting_[FormatIdempotencyKey(message.key)].push_back(
+        {id, std::move(promise)});
     const duration remaining =
         std::max(duration::zero(), message.deadline - Now());
     delayed_send(this, remaining, claim_deadline_message{message.key, id});
@@ -136,7 +137,7 @@
   void Deliver(const idempotency_key& key,
                const key_claim_answer& answer,
                std::optional<std::uint64_t> only_id) {
-    const auto found = waiting_.find(key);
+    const auto found = waiting_.find(FormatIdempotencyKey(key));
     if (found == waiting_.end()) {
       return;
     }
@@ -153,7 +154,8 @@
   }
 
   idempotency_table table_;
-  std::map<idempotency_key, std::vector<waiting_claim>> waiting_;
+  // By the text of the key.
+  std::map<std::string, std::vector<waiting_claim>> waiting_;
   std::uint64_t last_waiting_id_ = 0;
 };
 
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -144,6 +144,7 @@
       return;
     }
   }
+  is_accepting_ = false;
   listener_->stop();
 }
 
--- a/libraries/proxy/target_client.cc
+++ b/libraries/proxy/target_client.cc
@@ -33,7 +33,7 @@
 std::size_t target_client::ConnectionCount() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::size_t count = 0;
-  for (const std::pair<const endpoint, target_pool>& pool : pools_) {
+  for (const std::pair<const std::string, target_pool>& pool : pools_) {
     count += pool.second.in_use + pool.second.idle.size();
   }
   return count;
@@ -41,7 +41,7 @@
 
 void target_client::CloseIdleConnections() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::pair<const endpoint, target_pool>& pool : pools_) {
+  for (std::pair<const std::string, target_pool>& pool : pools_) {
     pool.second.idle.clear();
   }
 }
@@ -50,7 +50,7 @@
     const exchange_request& request) {
   const std::lock_guard<std::mutex> lock(mutex_);
   CloseExpired(clock_.Now());
-  target_pool& pool = pools_[request.address];
+  target_pool& pool = pools_[FormatEndpoint(request.address)];
   if (!request.needs_new_connection) {
     std::unique_ptr<target_connection> pooled = TakeIdle(pool);
     if (pooled != nullptr) {
@@ -89,7 +89,7 @@
     std::unique_ptr<target_connection> connection) {
   const bool is_reusable = connection->IsReusable();
   const std::lock_guard<std::mutex> lock(mutex_);
-  target_pool& pool = pools_[address];
+  target_pool& pool = pools_[FormatEndpoint(address)];
   --pool.in_use;
   if (is_reusable &&
       pool.idle.size() < options_.max_idle_connections_per_target) {
@@ -103,14 +103,15 @@
     return;
   }
   last_sweep_ = now;
-  for (std::pair<const endpoint, target_pool>& pool : pools_) {
+  for (std::pair<const std::string, target_pool>& pool : pools_) {
     std::erase_if(pool.second.idle, [&](const idle_connection& idle) {
       return now - idle.since >= options_.max_idle_time;
     });
   }
-  std::erase_if(pools_, [](const std::pair<const endpoint, target_pool>& pool) {
-    return pool.second.in_use == 0 && pool.second.idle.empty();
-  });
+  std::erase_if(pools_,
+                [](const std::pair<const std::string, target_pool>& pool) {
+                  return pool.second.in_use == 0 && pool.second.idle.empty();
+                });
 }
 
 }  // namespace bulrushshore
--- a/libraries/proxy/target_client.h
+++ b/libraries/proxy/target_client.h
@@ -3,9 +3,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -85,7 +87,8 @@
   const target_client_options options_;
   const clock& clock_;
   mutable std::mutex mutex_;
-  std::map<endpoint, target_pool> pools_;
+  // By the text of the address.
+  std::map<std::string, target_pool, std::less<>> pools_;
   time_point last_sweep_;
 };
 
--- a/libraries/proxy/target_connection.cc
+++ b/libraries/proxy/target_connection.cc
@@ -115,9 +115,13 @@
                                      std::uint64_t, std::uint64_t) {
     return OnBody(data, size);
   };
-  httplib::Response ignored;
+  httplib::Response received;
   httplib::Error library_error = httplib::Error::Success;
-  const bool is_complete = send(outgoing, ignored, library_error);
+  bool is_complete = send(outgoing, received, library_error);
+  if (is_complete && !progress_.is_head_complete) {
+    // The library calls the handler only for responses that have a body.
+    is_complete = OnHead(received);
+  }
   if (!is_complete && !is_complete_without_body_) {
     return FindFailure();
   }
--- /dev/null
+++ b/tests/proxy/shutdown_test.cc
@@ -0,0 +1,98 @@
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "tests/proxy/proxy_fixture.h"
+
+namespace bulrushshore {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Lets the test decide when the target answers.
+class gate {
+ public:
+  void Open() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_open_ = true;
+    changed_.notify_all();
+  }
+  void Wait() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [this] { return is_open_; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool is_open_ = false;
+};
+
+class ShutdownTest : public testing::Test {
+ protected:
+  ~ShutdownTest() override { answer_.Open(); }
+
+  // Sends a request and waits until the target has it.
+  raw_connection SendLookup() {
+    raw_connection caller = raw_connection::To(fixture_.proxy->port());
+    caller.Send(
+        "GET /lookup HTTP/1.1\r\nHost: a\r\nX-Request-Id: slow-1\r\n\r\n");
+    while (target_.connections() == 0) {
+      std::this_thread::yield();
+    }
+    return caller;
+  }
+
+  gate answer_;
+  scripted_target target_{{[this](raw_connection& connection) {
+    connection.ReceiveMessage();
+    answer_.Wait();
+    connection.Send(PlainResponse(200, "complete"));
+  }}};
+  proxy_fixture fixture_{{target_.port()}};
+};
+
+// Guards against a graceful shutdown that ends a request in flight.
+TEST_F(ShutdownTest, FinishesRequestsInFlight) {
+  raw_connection caller = SendLookup();
+  raw_connection idle = raw_connection::To(fixture_.proxy->port());
+  fixture_.proxy->BeginShutdown();
+  EXPECT_EQ(idle.ReceiveAll(), "");
+  shutdown_report report;
+  std::thread waiting(
+      [&] { report = fixture_.proxy->WaitUntilIdle(std::chrono::minutes(1)); });
+  answer_.Open();
+  const std::string response = caller.ReceiveAll();
+  waiting.join();
+  EXPECT_TRUE(response.ends_with("complete"));
+  EXPECT_EQ(HeaderOf(response, "Connection"), "close");
+  EXPECT_TRUE(report.is_idle);
+  EXPECT_TRUE(report.cut_request_ids.empty());
+}
+
+// Guards against a shutdown that never ends, or that hides what it cut off.
+TEST_F(ShutdownTest, ReportsWhatItCutOff) {
+  raw_connection caller = SendLookup();
+  const shutdown_report report =
+      fixture_.proxy->WaitUntilIdle(milliseconds(20));
+  EXPECT_FALSE(report.is_idle);
+  EXPECT_EQ(report.cut_request_ids, std::vector<std::string>{"slow-1"});
+  EXPECT_EQ(caller.ReceiveAll(), "");
+}
+
+// Guards against callers that are turned away before they know of the shutdown.
+TEST_F(ShutdownTest, ServesLateCallersUntilItStopsAccepting) {
+  answer_.Open();
+  fixture_.proxy->BeginShutdown();
+  const std::string response = fixture_.Get("/lookup");
+  EXPECT_EQ(StatusOf(response), 200);
+  EXPECT_EQ(HeaderOf(response, "Connection"), "close");
+  EXPECT_TRUE(fixture_.proxy->IsAccepting());
+  EXPECT_TRUE(fixture_.proxy->WaitUntilIdle(std::chrono::minutes(1)).is_idle);
+  EXPECT_FALSE(fixture_.proxy->IsAccepting());
+}
+
+}  // namespace
+}  // namespace bulrushshore
--- a/tests/proxy/socket_peer.cc
+++ b/tests/proxy/socket_peer.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -89,6 +90,11 @@
   return std::exchange(buffer_, {});
 }
 
+bool raw_connection::WaitForClose(std::chrono::milliseconds limit) const {
+  pollfd entry = {socket_, POLLRDHUP, 0};
+  return poll(&entry, 1, static_cast<int>(limit.count())) == 0;
+}
+
 void raw_connection::Reset() {
   const linger immediately = {1, 0};
   setsockopt(socket_, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
--- a/tests/proxy/socket_peer.h
+++ b/tests/proxy/socket_peer.h
@@ -2,8 +2,8 @@
 #define TESTS_PROXY_SOCKET_PEER_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -32,6 +32,10 @@
   // Receives until the peer closes the connection.
   std::string ReceiveAll();
 
+  // Waits until the peer closes the connection; returns true if it is still
+  // open after `limit`.
+  bool WaitForClose(std::chrono::milliseconds limit) const;
+
   // Ends the connection with a reset instead of an orderly close.
   void Reset();
 
