--- a/libraries/caller/caller.cc
+++ b/libraries/caller/caller.cc
@@ -140,12 +140,13 @@
   if (is_recent && IsKeyPrefix(host.key_prefix)) {
     return host.key_prefix;
   }
-  http_request request;
+  transport_request request;
   request.path = "/_bulrush/key";
   const transport_result exchanged = transport_.Exchange(
       host.address, request,
       std::min<duration>(kKeyPrefixTimeout, state.deadline - clock_.Now()));
-  const http_response* const response = std::get_if<http_response>(&exchanged);
+  const transport_response* const response =
+      std::get_if<transport_response>(&exchanged);
   if (response == nullptr || response->status != kOk) {
     return std::nullopt;
   }
@@ -175,7 +176,8 @@
   transport_result exchanged =
       transport_.Exchange(host.address, BuildRequest(state, attempt),
                           state.deadline - clock_.Now());
-  if (http_response* const response = std::get_if<http_response>(&exchanged)) {
+  if (transport_response* const response =
+          std::get_if<transport_response>(&exchanged)) {
     attempt.outcome = ClassifyResponse(*response);
     attempt.status = response->status;
     attempt.reason = std::string(
@@ -267,9 +269,9 @@
   return true;
 }
 
-http_request caller::BuildRequest(const call_state& state,
-                                  const call_attempt& attempt) const {
-  http_request request = state.request.http;
+transport_request caller::BuildRequest(const call_state& state,
+                                       const call_attempt& attempt) const {
+  transport_request request = state.request.http;
   const std::int64_t left_ms = std::max<std::int64_t>(
       ToMilliseconds(state.deadline - clock_.Now()).count(), 1);
   request.headers.emplace_back("X-Request-Id", attempt.request_id);
--- a/libraries/caller/caller_transport.h
+++ b/libraries/caller/caller_transport.h
@@ -21,7 +21,7 @@
 std::optional<std::string_view> FindHeader(const http_headers& headers,
                                            std::string_view name);
 
-struct http_request {
+struct transport_request {
   std::string method = "GET";
   // Path with the query, as it is sent.
   std::string path = "/";
@@ -30,7 +30,7 @@
 };
 
 // A complete response: its framing was checked.
-struct http_response {
+struct transport_response {
   int status = 0;
   http_headers headers;
   std::string body;
@@ -49,7 +49,7 @@
 // Returns the stable lower-case name of `failure`. Thread safe.
 std::string_view TransportFailureName(transport_failure failure);
 
-using transport_result = std::variant<http_response, transport_failure>;
+using transport_result = std::variant<transport_response, transport_failure>;
 
 // Sends HTTP requests to hosts.
 class caller_transport {
@@ -59,7 +59,7 @@
   // Sends `request` once and waits up to `timeout` for the complete response.
   // Never sends a request a second time on its own. Thread safe.
   virtual transport_result Exchange(const endpoint& address,
-                                    const http_request& request,
+                                    const transport_request& request,
                                     duration timeout) = 0;
 };
 
--- a/libraries/caller/http_transport.cc
+++ b/libraries/caller/http_transport.cc
@@ -38,7 +38,7 @@
          response.has_header("Transfer-Encoding");
 }
 
-httplib::Request ToLibraryRequest(const http_request& request) {
+httplib::Request ToLibraryRequest(const transport_request& request) {
   httplib::Request converted;
   converted.method = request.method;
   converted.path = request.path;
@@ -49,8 +49,8 @@
   return converted;
 }
 
-http_response FromLibraryResponse(httplib::Response& response) {
-  http_response converted;
+transport_response FromLibraryResponse(httplib::Response& response) {
+  transport_response converted;
   converted.status = response.status;
   for (const std::pair<const std::string, std::string>& header :
        response.headers) {
@@ -94,7 +94,7 @@
 http_transport::~http_transport() = default;
 
 transport_result http_transport::Exchange(const endpoint& address,
-                                          const http_request& request,
+                                          const transport_request& request,
                                           duration timeout) {
   const time_point deadline = clock_.Now() + timeout;
   std::unique_ptr<httplib::Client> client = TakeClient(address);
--- a/libraries/store/http_exchange.cc
+++ b/libraries/store/http_exchange.cc
@@ -27,13 +27,13 @@
   return version;
 }
 
-std::string MethodName(http_method method) {
+std::string MethodName(store_method method) {
   switch (method) {
-    case http_method::kGet:
+    case store_method::kGet:
       return "GET";
-    case http_method::kPut:
+    case store_method::kPut:
       return "PUT";
-    case http_method::kDelete:
+    case store_method::kDelete:
       return "DELETE";
   }
   return "GET";
@@ -67,7 +67,7 @@
   bool is_too_large_ = false;
 };
 
-httplib::Request ToLibraryRequest(const http_request& request,
+httplib::Request ToLibraryRequest(const store_request& request,
                                   body_collector& collector) {
   httplib::Request sent;
   sent.method = MethodName(request.method);
@@ -76,7 +76,7 @@
        request.headers) {
     sent.headers.emplace(header.first, header.second);
   }
-  if (request.method == http_method::kPut) {
+  if (request.method == store_method::kPut) {
     sent.headers.emplace("Content-Type", "application/octet-stream");
   }
   sent.body = request.body;
@@ -98,9 +98,9 @@
 
 }  // namespace
 
-result<http_response> ExchangeHttp(const http_store_options& options,
-                                   const clock& time_source,
-                                   const http_request& request) {
+result<store_response> ExchangeHttp(const http_store_options& options,
+                                    const clock& time_source,
+                                    const store_request& request) {
   httplib::Client client(options.address.ip, options.address.port);
   client.set_connection_timeout(options.timeout);
   client.set_write_timeout(options.timeout);
@@ -120,7 +120,7 @@
   if (!received) {
     return TransportError(options, received.error());
   }
-  http_response response;
+  store_response response;
   response.status_code = received->status;
   response.version = ParseVersionTag(received->get_header_value("ETag"));
   response.body = std::move(collector).body();
--- a/libraries/store/http_exchange.h
+++ b/libraries/store/http_exchange.h
@@ -22,10 +22,10 @@
   std::chrono::milliseconds timeout{2000};
 };
 
-enum class http_method { kGet, kPut, kDelete };
+enum class store_method { kGet, kPut, kDelete };
 
-struct http_request {
-  http_method method = http_method::kGet;
+struct store_request {
+  store_method method = store_method::kGet;
   std::string path;
   std::map<std::string, std::string> headers;
   std::string body;
@@ -34,7 +34,7 @@
   std::size_t max_response_bytes = 0;
 };
 
-struct http_response {
+struct store_response {
   int status_code = 0;
   // Version in the ETag header, if there is a valid one.
   std::optional<std::uint64_t> version;
@@ -46,9 +46,9 @@
 // request cannot have taken effect (no connection, or status 503),
 // kUnknownEffect if it can (no complete response, or another status above 499),
 // kDataLoss if the response is too large. Thread safe.
-result<http_response> ExchangeHttp(const http_store_options& options,
-                                   const clock& time_source,
-                                   const http_request& request);
+result<store_response> ExchangeHttp(const http_store_options& options,
+                                    const clock& time_source,
+                                    const store_request& request);
 
 }  // namespace bulrushshore
 
--- a/libraries/store/http_machine_list.cc
+++ b/libraries/store/http_machine_list.cc
@@ -59,10 +59,10 @@
     : options_(std::move(options)), time_source_(time_source) {}
 
 result<std::vector<machine>> http_machine_list::Machines() {
-  http_request request;
+  store_request request;
   request.path = "/machines";
   request.max_response_bytes = kMaxMachineListBytes;
-  const result<http_response> response =
+  const result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     const error& cause = ErrorOf(response);
--- a/libraries/store/http_object_store.cc
+++ b/libraries/store/http_object_store.cc
@@ -25,7 +25,7 @@
 }
 
 // The store answered in a way that its HTTP form does not know.
-error UnexpectedResponse(const http_response& response, error_code code) {
+error UnexpectedResponse(const store_response& response, error_code code) {
   return {code, "unexpected response of the object store, status " +
                     std::to_string(response.status_code)};
 }
@@ -51,7 +51,7 @@
           "object \"" + std::string(key) + "\" has another version"};
 }
 
-result<stored_object> ToStoredObject(http_response response) {
+result<stored_object> ToStoredObject(store_response response) {
   if (response.status_code != kOk || !response.version.has_value()) {
     return UnexpectedResponse(response, error_code::kUnavailable);
   }
@@ -86,10 +86,10 @@
   if (!IsValidObjectKey(key)) {
     return InvalidKey(key);
   }
-  http_request request;
+  store_request request;
   request.path = "/objects/" + std::string(key);
   request.max_response_bytes = kMaxObjectBytes;
-  result<http_response> response =
+  result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ReadError(ErrorOf(response));
@@ -108,18 +108,18 @@
   if (!IsValidObjectKey(key)) {
     return InvalidKey(key);
   }
-  http_request request;
-  request.method = http_method::kPut;
+  store_request request;
+  request.method = store_method::kPut;
   request.path = "/objects/" + std::string(key);
   request.headers = ConditionHeaders(expected);
   request.body = std::string(value);
   request.max_response_bytes = kMaxObjectBytes;
-  const result<http_response> response =
+  const result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ErrorOf(response);
   }
-  const http_response& answer = ValueOf(response);
+  const store_response& answer = ValueOf(response);
   if (answer.status_code == kPreconditionFailed) {
     return VersionConflict(key);
   }
@@ -133,17 +133,17 @@
   if (!IsValidObjectKey(key)) {
     return InvalidKey(key);
   }
-  http_request request;
-  request.method = http_method::kDelete;
+  store_request request;
+  request.method = store_method::kDelete;
   request.path = "/objects/" + std::string(key);
   request.headers = ConditionHeaders(expected);
   request.max_response_bytes = kMaxObjectBytes;
-  const result<http_response> response =
+  const result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ErrorOf(response);
   }
-  const http_response& answer = ValueOf(response);
+  const store_response& answer = ValueOf(response);
   if (answer.status_code == kPreconditionFailed) {
     return VersionConflict(key);
   }
@@ -159,11 +159,11 @@
   if (!prefix.empty() && !IsValidObjectKey(prefix)) {
     return InvalidKey(prefix);
   }
-  http_request request;
+  store_request request;
   request.path =
       "/list?prefix=" + std::string(prefix) + "&limit=" + std::to_string(limit);
   request.max_response_bytes = kMaxListBytes;
-  const result<http_response> response =
+  const result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ReadError(ErrorOf(response));
@@ -181,13 +181,13 @@
   if (!IsValidObjectKey(key)) {
     return InvalidKey(key);
   }
-  http_request request;
+  store_request request;
   request.path = "/watch/" + std::string(key) +
                  "?after=" + std::to_string(after) +
                  "&timeout_ms=" + std::to_string(timeout.count());
   request.extra_wait = timeout;
   request.max_response_bytes = kMaxObjectBytes;
-  result<http_response> response =
+  result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ReadError(ErrorOf(response));
--- a/libraries/telemetry/log.cc
+++ b/libraries/telemetry/log.cc
@@ -33,10 +33,10 @@
 void ConfigureLogging(log_level minimum) {
   // The layout supplies time and level, so that the library's own clock and
   // level names are used; LogEvent() supplies the rest of the object.
-  const log4cxx::LayoutPtr layout = std::make_shared<
-      log4cxx::PatternLayout>(LOG4CXX_STR(
-      "{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC}\",\"level\":\"%p\","
-      "%m}%n"));
+  const log4cxx::LayoutPtr layout =
+      std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR(
+          "{\"time\":\"%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z\",\"level\":"
+          "\"%p\",%m}%n"));
   const log4cxx::ConsoleAppenderPtr appender =
       std::make_shared<log4cxx::ConsoleAppender>(
           layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/utilities/caller_tool/history_recorder.cc
+++ b/utilities/caller_tool/history_recorder.cc
@@ -14,7 +14,7 @@
   return status >= 200 && status < 300;
 }
 
-nlohmann::json DescribeAnswer(const http_response& response) {
+nlohmann::json DescribeAnswer(const transport_response& response) {
   const result<work_answer> parsed = ParseWorkAnswer(response.body);
   if (!IsOk(parsed)) {
     return {{"intact", false}};
--- a/utilities/operator_tool/host_poller.cc
+++ b/utilities/operator_tool/host_poller.cc
@@ -29,10 +29,10 @@
 result<std::uint64_t> AskHost(const endpoint& address,
                               std::chrono::milliseconds timeout,
                               const clock& time_source) {
-  http_request request;
+  store_request request;
   request.path = "/status";
   request.max_response_bytes = kMaxStatusBytes;
-  const result<http_response> response =
+  const result<store_response> response =
       ExchangeHttp({address, timeout}, time_source, request);
   if (!IsOk(response)) {
     return ErrorOf(response);
