--- a/stand_ins/target/target_server.cc
+++ b/stand_ins/target/target_server.cc
@@ -74,6 +74,15 @@
   bool is_stopping_ = false;
 };
 
+// The library waits for the body of a request that states no length until the
+// connection closes; by RFC 9112, section 6.3, such a request has no body.
+void SetMissingContentLength(httplib::Request& request) {
+  if (!request.has_header("Content-Length") &&
+      !request.has_header("Transfer-Encoding")) {
+    request.set_header("Content-Length", "0");
+  }
+}
+
 }  // namespace
 
 target_server::target_server(std::size_t max_connections) {
@@ -124,7 +133,8 @@
     }
     idle_ms = 0;
     bool is_closed = false;
-    if (!process_request(stream, false, is_closed, nullptr) || is_closed) {
+    if (!process_request(stream, false, is_closed, SetMissingContentLength) ||
+        is_closed) {
       return true;
     }
   }
--- a/stand_ins/target/target_service.cc
+++ b/stand_ins/target/target_service.cc
@@ -272,14 +272,16 @@
 
 void target_service::Run(const work_request& work,
                          httplib::Response& response) {
-  Record("start", work, "");
+  Record(work_start_event{work.run, options_.name, incarnation_,
+                          work.request_id, work.key, work.kind,
+                          CurrentUnixTimeMs()});
   if (work.is_crashing) {
     ::_exit(kCrashExitCode);
   }
   const request_fault fault = faults_.Draw(clock_.Now());
-  const std::string outcome = Execute(work, fault);
-  Record("end", work, outcome);
-  if (outcome == "completed") {
+  const work_outcome outcome = Execute(work, fault);
+  Record(work_end_event{work.run, outcome, CurrentUnixTimeMs()});
+  if (outcome == work_outcome::kCompleted) {
     Answer(work, response);
     if (fault == request_fault::kTruncate) {
       // The cut falls into the body: the headers have about 150 bytes.
@@ -289,13 +291,12 @@
     return;
   }
   response.status =
-      outcome == "failed" ? kInternalServerError : kGatewayTimeout;
-  response.set_content(outcome, "text/plain");
+      outcome == work_outcome::kFailed ? kInternalServerError : kGatewayTimeout;
+  response.set_content(std::string(WorkOutcomeName(outcome)), "text/plain");
 }
 
-// Returns how the work ended: completed, failed, cancelled or timed_out.
-std::string target_service::Execute(const work_request& work,
-                                    request_fault fault) {
+work_outcome target_service::Execute(const work_request& work,
+                                     request_fault fault) {
   const time_point end = clock_.Now() + WorkTime(work);
   const bool is_hanging = fault == request_fault::kHang;
   while (is_hanging || clock_.Now() < end) {
@@ -305,14 +306,15 @@
     const bool is_closed = work.peer->WaitClosedByPeer(
         is_hanging ? kWaitSlice : std::min(left, kWaitSlice));
     if (is_closed || (is_hanging && server_.IsStopping())) {
-      return "cancelled";
+      return work_outcome::kCancelled;
     }
     // Work that hangs ignores its deadline.
     if (!is_hanging && work.deadline && clock_.Now() >= *work.deadline) {
-      return "timed_out";
+      return work_outcome::kTimedOut;
     }
   }
-  return fault == request_fault::kFail ? "failed" : "completed";
+  return fault == request_fault::kFail ? work_outcome::kFailed
+                                       : work_outcome::kCompleted;
 }
 
 void target_service::Answer(const work_request& work,
@@ -357,48 +359,19 @@
       static_cast<std::int64_t>(static_cast<double>(base.count()) * factor));
 }
 
-void target_service::Record(std::string_view event,
-                            const work_request& work,
-                            std::string_view outcome) {
-  if (history_ == nullptr) {
-    return;
-  }
-  nlohmann::json line = {{"event", event},
-                         {"target", options_.name},
-                         {"run", work.run},
-                         {"request_id", work.request_id},
-                         {"key", work.key},
-                         {"kind", work.kind},
-                         {"unix_ms", CurrentUnixTimeMs()}};
-  if (!outcome.empty()) {
-    line["outcome"] = outcome;
-  }
-  if (!IsOk(history_->Append(line))) {
+void target_service::Record(const history_event& event) {
+  if (history_ != nullptr && !IsOk(history_->Append(ToJson(event)))) {
     // A history with a gap would hide faults from the checker.
     std::abort();
   }
 }
 
-void target_service::RecordProcessEvent(std::string_view event) {
-  if (history_ == nullptr) {
-    return;
-  }
-  const status written = history_->Append({{"event", event},
-                                           {"target", options_.name},
-                                           {"incarnation", incarnation_},
-                                           {"unix_ms", CurrentUnixTimeMs()}});
-  if (!IsOk(written)) {
-    std::abort();
-  }
-}
-
 void target_service::Stop() {
-  RecordProcessEvent("stop");
   server_.stop();
 }
 
 void target_service::RecordExit() {
-  RecordProcessEvent("exit");
+  Record(target_exit_event{options_.name, incarnation_, CurrentUnixTimeMs()});
 }
 
 }  // namespace bulrushshore
--- a/stand_ins/target/target_service.h
+++ b/stand_ins/target/target_service.h
@@ -13,6 +13,7 @@
 #include <httplib.h>
 
 #include "libraries/base/clock.h"
+#include "libraries/history/history_event.h"
 #include "libraries/history/json_line_file.h"
 #include "stand_ins/target/fault_plan.h"
 #include "stand_ins/target/lagged_value.h"
@@ -60,12 +61,10 @@
 
   target_server& server() { return server_; }
 
-  // Refuses no request, but waits for no further one: stops accepting, lets
-  // running work complete, and records both ends of the stop. Thread safe.
+  // Stops accepting connections and lets running work complete. Thread safe.
   void Stop();
 
-  // Records that all work of a graceful stop has ended. Call after
-  // listen_after_bind() returned.
+  // Records that all work has ended. Call after listen_after_bind() returned.
   void RecordExit();
 
  private:
@@ -82,17 +81,14 @@
   void HandleWork(const httplib::Request& request, httplib::Response& response);
   work_request ReadWorkRequest(const httplib::Request& request);
   void Run(const work_request& work, httplib::Response& response);
-  std::string Execute(const work_request& work, request_fault fault);
+  work_outcome Execute(const work_request& work, request_fault fault);
   void Answer(const work_request& work, httplib::Response& response);
   void WaitSilently() const;
   void NoteRunning();
   std::size_t ReportedLoad();
   std::string ReportedHealth();
   std::chrono::microseconds WorkTime(const work_request& work);
-  void Record(std::string_view event,
-              const work_request& work,
-              std::string_view outcome);
-  void RecordProcessEvent(std::string_view event);
+  void Record(const history_event& event);
 
   const target_options options_;
   const clock& clock_;
--- a/utilities/caller_tool/history_recorder.cc
+++ b/utilities/caller_tool/history_recorder.cc
@@ -5,7 +5,6 @@
 
 #include "libraries/history/work_answer.h"
 #include "libraries/telemetry/audit.h"
-#include "utilities/caller_tool/work_mix.h"
 
 namespace bulrushshore {
 namespace {
@@ -14,16 +13,39 @@
   return status >= 200 && status < 300;
 }
 
-nlohmann::json DescribeAnswer(const http_response& response) {
+recorded_outcome ToRecorded(call_outcome outcome) {
+  switch (outcome) {
+    case call_outcome::kAnswered:
+      return recorded_outcome::kAnswered;
+    case call_outcome::kNotRun:
+      return recorded_outcome::kNotRun;
+    case call_outcome::kUnknown:
+      return recorded_outcome::kUnknown;
+    case call_outcome::kRefused:
+      return recorded_outcome::kRefused;
+  }
+  return recorded_outcome::kUnknown;
+}
+
+recorded_repeat ToRecorded(repeat_policy policy) {
+  switch (policy) {
+    case repeat_policy::kIdempotent:
+      return recorded_repeat::kIdempotent;
+    case repeat_policy::kKeyed:
+      return recorded_repeat::kKeyed;
+    case repeat_policy::kOnce:
+      return recorded_repeat::kOnce;
+  }
+  return recorded_repeat::kOnce;
+}
+
+recorded_answer ReadAnswer(const http_response& response) {
   const result<work_answer> parsed = ParseWorkAnswer(response.body);
   if (!IsOk(parsed)) {
-    return {{"intact", false}};
+    return {};
   }
   const work_answer& answer = ValueOf(parsed);
-  return {{"intact", true},
-          {"request_id", answer.request_id},
-          {"key", answer.key},
-          {"run", answer.run}};
+  return {true, answer.request_id, answer.key, answer.run};
 }
 
 }  // namespace
@@ -32,69 +54,51 @@
     : file_(std::move(file)) {}
 
 void history_recorder::RecordInvocation(const call_request& request) {
-  Append({{"event", "invoke"},
-          {"operation", request.request_id},
-          {"service", request.service},
-          {"repeat", RepeatPolicyName(request.repeat)},
-          {"unix_ms", CurrentUnixTimeMs()}});
+  Append(invocation_event{request.request_id, request.service,
+                          ToRecorded(request.repeat), CurrentUnixTimeMs()});
 }
 
 void history_recorder::RecordCompletion(const call_request& request,
                                         const call_result& result) {
-  nlohmann::json line = {{"event", "complete"},
-                         {"operation", request.request_id},
-                         {"outcome", CallOutcomeName(result.outcome)},
-                         {"key", result.key},
-                         {"host", result.host},
-                         {"reason", result.reason},
-                         {"attempts", result.attempts},
-                         {"unix_ms", CurrentUnixTimeMs()}};
+  completion_event event;
+  event.operation = request.request_id;
+  event.outcome = ToRecorded(result.outcome);
+  event.key = result.key;
+  event.host = result.host;
+  event.reason = result.reason;
+  event.unix_ms = CurrentUnixTimeMs();
   if (result.response) {
-    line["status"] = result.response->status;
+    event.status = result.response->status;
   }
-  if (result.outcome == call_outcome::kAnswered && result.response &&
-      IsSuccess(result.response->status)) {
-    line["answer"] = DescribeAnswer(*result.response);
+  if (result.outcome == call_outcome::kAnswered && IsSuccess(event.status)) {
+    event.answer = ReadAnswer(*result.response);
   }
-  Append(line);
+  Append(event);
 }
 
-void history_recorder::OnKey(const call_request& request,
-                             std::string_view key) {
-  Append({{"event", "key"}, {"operation", request.request_id}, {"key", key}});
+void history_recorder::OnKey(const call_request& /*request*/,
+                             std::string_view /*key*/) {
+  // The start of the attempt records the key as well.
 }
 
 void history_recorder::OnAttemptStart(const call_request& request,
                                       const call_attempt& attempt) {
-  Append({{"event", "attempt_start"},
-          {"operation", request.request_id},
-          {"request_id", attempt.request_id},
-          {"host", attempt.host},
-          {"key", attempt.key},
-          {"unix_ms", CurrentUnixTimeMs()}});
+  Append(attempt_start_event{request.request_id, attempt.request_id,
+                             attempt.host, attempt.key, CurrentUnixTimeMs()});
 }
 
-void history_recorder::OnAttemptEnd(const call_request& request,
+void history_recorder::OnAttemptEnd(const call_request& /*request*/,
                                     const call_attempt& attempt) {
-  nlohmann::json line = {{"event", "attempt_end"},
-                         {"operation", request.request_id},
-                         {"request_id", attempt.request_id},
-                         {"host", attempt.host},
-                         {"outcome", CallOutcomeName(attempt.outcome)},
-                         {"reason", attempt.reason},
-                         {"status", attempt.status},
-                         {"unix_ms", CurrentUnixTimeMs()}};
-  if (attempt.failure) {
-    line["failure"] = TransportFailureName(*attempt.failure);
-  }
-  Append(line);
+  Append(attempt_end_event{attempt.request_id, ToRecorded(attempt.outcome),
+                           attempt.status, attempt.reason,
+                           CurrentUnixTimeMs()});
 }
 
-void history_recorder::Append(const nlohmann::json& line) {
+void history_recorder::Append(const history_event& event) {
   if (file_ == nullptr) {
     return;
   }
-  if (!IsOk(file_->Append(line))) {
+  if (!IsOk(file_->Append(ToJson(event)))) {
     // A history with a gap would hide faults from the checker.
     std::abort();
   }
--- a/utilities/caller_tool/history_recorder.h
+++ b/utilities/caller_tool/history_recorder.h
@@ -3,9 +3,8 @@
 
 #include <memory>
 
-#include <nlohmann/json.hpp>
-
 #include "libraries/caller/caller.h"
+#include "libraries/history/history_event.h"
 #include "libraries/history/json_line_file.h"
 
 namespace bulrushshore {
@@ -31,7 +30,7 @@
                     const call_attempt& attempt) override;
 
  private:
-  void Append(const nlohmann::json& line);
+  void Append(const history_event& event);
 
   const std::unique_ptr<json_line_file> file_;
 };
