--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -187,7 +187,7 @@
 host_daemon::~host_daemon() = default;
 
 status host_daemon::Start() {
-  const status admin_started = parts_->admin.Start(settings_.admin_address);
+  status admin_started = parts_->admin.Start(settings_.admin_address);
   if (!IsOk(admin_started)) {
     return admin_started;
   }
