--- a/stand_ins/object_store/main.cc
+++ b/stand_ins/object_store/main.cc
@@ -57,6 +57,12 @@
       "  stand_in_store [--ip=IP] [--port=PORT] [--threads=N]\n\n"
       "Prints \"listening IP:PORT\" once it listens, and exits 0 on SIGTERM.\n"
       "Exit codes: 0 stopped by a signal, 2 wrong usage, 3 cannot listen.");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  // Left to itself, gflags ends --help with exit code 1.
+  if (gflags::GetCommandLineFlagInfoOrDie("help").current_value == "true") {
+    std::cout << gflags::ProgramUsage() << "\n";
+    return 0;
+  }
+  gflags::HandleCommandLineHelpFlags();
   return bulrushshore::Run();
 }
--- a/utilities/operator_tool/commands.cc
+++ b/utilities/operator_tool/commands.cc
@@ -7,6 +7,7 @@
 #include "libraries/catalog/apply.h"
 #include "libraries/catalog/limits.h"
 #include "libraries/settings/settings_reader.h"
+#include "libraries/store/audit_archive.h"
 #include "libraries/store/catalog_publisher.h"
 #include "libraries/store/catalog_reader.h"
 #include "libraries/telemetry/audit.h"
@@ -279,4 +280,21 @@
   return kExitSuccess;
 }
 
+int ShowAudit(const command_context& context, std::size_t limit) {
+  if (context.store == nullptr) {
+    return FailWithoutStore(context);
+  }
+  const result<std::vector<audit_record>> records =
+      ReadAuditRecords(*context.store, limit);
+  if (!IsOk(records)) {
+    return Fail(context, ErrorOf(records));
+  }
+  if (context.output.format == report_format::kJson) {
+    PrintJson(context.output, ToJson(ValueOf(records)));
+  } else {
+    PrintAudit(context.output, ValueOf(records));
+  }
+  return kExitSuccess;
+}
+
 }  // namespace bulrushshore
--- a/utilities/operator_tool/commands.h
+++ b/utilities/operator_tool/commands.h
@@ -60,6 +60,9 @@
 // Lists the newest accepted notes.
 int ShowHistory(const command_context& context, std::size_t limit);
 
+// Lists the newest audit records that hosts have written to the store.
+int ShowAudit(const command_context& context, std::size_t limit);
+
 }  // namespace bulrushshore
 
 #endif  // UTILITIES_OPERATOR_TOOL_COMMANDS_H_
--- a/utilities/operator_tool/main.cc
+++ b/utilities/operator_tool/main.cc
@@ -37,8 +37,12 @@
     "  bulrushctl publish NOTE.ini --store=IP:PORT\n"
     "             [--wait --hosts=IP:PORT,... [--timeout_ms=N]]\n"
     "  bulrushctl status --store=IP:PORT [--hosts=IP:PORT,...]\n"
-    "  bulrushctl history --store=IP:PORT [--limit=N]\n\n"
-    "Exit codes: 0 success, 2 wrong usage or unreadable file, 3 the note was\n"
+    "  bulrushctl history --store=IP:PORT [--limit=N]\n"
+    "  bulrushctl audit --store=IP:PORT [--limit=N]\n\n"
+    "Other flags: --output=table|json, --store_timeout_ms=N, --version,\n"
+    "--helpfull for all flags.\n"
+    "Exit codes: 0 success, 1 unknown flag, 2 wrong usage or unreadable file, "
+    "3 the note was\n"
     "rejected, 4 not known yet whether the note was accepted (publish it\n"
     "again), 5 the store cannot be used, 6 accepted but not yet reported by\n"
     "all hosts.";
@@ -83,6 +87,9 @@
   if (command == "history" && is_alone) {
     return ShowHistory(context, static_cast<std::size_t>(FLAGS_limit));
   }
+  if (command == "audit" && is_alone) {
+    return ShowAudit(context, static_cast<std::size_t>(FLAGS_limit));
+  }
   return FailUsage("unknown command or wrong arguments");
 }
 
@@ -132,6 +139,12 @@
 int main(int argc, char** argv) {
   gflags::SetVersionString(BULRUSHSHORE_VERSION);
   gflags::SetUsageMessage(bulrushshore::kUsage);
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  // Left to itself, gflags ends --help with exit code 1.
+  if (gflags::GetCommandLineFlagInfoOrDie("help").current_value == "true") {
+    std::cout << gflags::ProgramUsage() << "\n";
+    return bulrushshore::kExitSuccess;
+  }
+  gflags::HandleCommandLineHelpFlags();
   return bulrushshore::Run({argv + 1, argv + argc});
 }
--- a/utilities/operator_tool/report.cc
+++ b/utilities/operator_tool/report.cc
@@ -131,6 +131,19 @@
   return list;
 }
 
+nlohmann::json ToJson(const std::vector<audit_record>& records) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const audit_record& record : records) {
+    list.push_back({{"unix_time_ms", record.unix_time_ms},
+                    {"actor", record.actor},
+                    {"action", record.action},
+                    {"subject", record.subject},
+                    {"detail", record.detail},
+                    {"catalog_version", record.catalog_version}});
+  }
+  return list;
+}
+
 void PrintJson(const report_output& output, const nlohmann::json& document) {
   constexpr int kIndent = 2;
   output.stream << document.dump(kIndent, ' ', false,
@@ -199,6 +212,16 @@
   table.Print(output.stream, output.is_coloured);
 }
 
+void PrintAudit(const report_output& output,
+                const std::vector<audit_record>& records) {
+  text_table table({"TIME (UTC)", "ACTOR", "ACTION", "SUBJECT", "DETAIL"});
+  for (const audit_record& record : records) {
+    table.AddRow({FormatUnixTime(record.unix_time_ms), record.actor,
+                  record.action, record.subject, record.detail});
+  }
+  table.Print(output.stream, output.is_coloured);
+}
+
 void PrintHosts(const report_output& output,
                 const std::vector<host_version>& hosts) {
   text_table table({"HOST", "VERSION", "FAULT"});
--- a/utilities/operator_tool/report.h
+++ b/utilities/operator_tool/report.h
@@ -11,6 +11,7 @@
 #include "libraries/settings/ini_document.h"
 #include "libraries/store/catalog_publisher.h"
 #include "libraries/store/note_chain.h"
+#include "libraries/telemetry/audit.h"
 #include "utilities/operator_tool/host_poller.h"
 
 namespace bulrushshore {
@@ -31,6 +32,7 @@
 nlohmann::json ToJson(const publish_outcome& outcome);
 nlohmann::json ToJson(const std::vector<history_entry>& entries);
 nlohmann::json ToJson(const std::vector<host_version>& hosts);
+nlohmann::json ToJson(const std::vector<audit_record>& records);
 
 // Writes `document` as indented JSON. Bytes that are not UTF-8 are replaced.
 void PrintJson(const report_output& output, const nlohmann::json& document);
@@ -47,6 +49,8 @@
                   const publish_outcome& outcome);
 void PrintHistory(const report_output& output,
                   const std::vector<history_entry>& entries);
+void PrintAudit(const report_output& output,
+                const std::vector<audit_record>& records);
 void PrintHosts(const report_output& output,
                 const std::vector<host_version>& hosts);
 
