--- a/libraries/dispatch/target_chooser.cc
+++ b/libraries/dispatch/target_chooser.cc
@@ -22,6 +22,22 @@
          2 * entry.long_in_flight < entry.registered.slots;
 }
 
+// Other hosts use the same targets, so that the part of a target's slots that
+// this host may use is smaller than the target. Long work therefore also stays
+// below half of what the targets in use bear from this host.
+bool HasRoomForLongWork(const target_table& targets,
+                        const outlier_detector& detector,
+                        time_point now) {
+  double capacity = 0.0;
+  std::uint32_t long_in_flight = 0;
+  for (const target_table::entry_map::value_type& entry : targets.entries()) {
+    capacity +=
+        detector.Health(entry.first, now).weight * entry.second.limit.limit();
+    long_in_flight += entry.second.long_in_flight;
+  }
+  return long_in_flight == 0 || 2.0 * (long_in_flight + 1) <= capacity;
+}
+
 }  // namespace
 
 target_chooser::target_chooser(std::string_view selector,
@@ -42,6 +58,10 @@
   }
   loads_.clear();
   candidates_.clear();
+  if (work.is_long && work.is_limited &&
+      !HasRoomForLongWork(targets, detector, now)) {
+    return {};
+  }
   for (target_table::entry_map::value_type& entry : targets.entries()) {
     target_entry& candidate = entry.second;
     if (!MayRun(candidate, work, now) || IsExcluded(request, entry.first)) {
--- a/libraries/health/kind_statistics.cc
+++ b/libraries/health/kind_statistics.cc
@@ -20,20 +20,25 @@
 
 }  // namespace
 
-void decaying_count::Add(double amount,
+void outcome_counts::Add(bool is_failure,
+                         bool is_slow,
                          time_point now,
                          duration time_constant) {
-  value_ = Value(now, time_constant) + amount;
+  const double total = Total(now, time_constant);
+  const double kept = total_ > 0.0 ? total / total_ : 0.0;
+  total_ = total + 1.0;
+  failures_ = kept * failures_ + (is_failure ? 1.0 : 0.0);
+  slow_ = kept * slow_ + (is_slow ? 1.0 : 0.0);
   updated_ = now;
 }
 
-double decaying_count::Value(time_point now, duration time_constant) const {
-  if (value_ == 0.0 || now <= updated_) {
-    return value_;
+double outcome_counts::Total(time_point now, duration time_constant) const {
+  if (total_ == 0.0 || now <= updated_) {
+    return total_;
   }
   const double age = std::chrono::duration<double>(now - updated_).count();
   const double scale = std::chrono::duration<double>(time_constant).count();
-  return value_ * std::exp(-age / scale);
+  return total_ * std::exp(-age / scale);
 }
 
 void duration_window::Add(duration elapsed) {
@@ -59,17 +64,18 @@
   std::vector<double> failure_shares;
   std::vector<double> slow_shares;
   std::vector<duration> medians;
+  failure_shares.reserve(targets_.size());
+  slow_shares.reserve(targets_.size());
+  medians.reserve(targets_.size());
   for (const std::map<std::string, target_samples, std::less<>>::value_type&
            entry : targets_) {
     if (entry.first == target) {
       continue;
     }
     const target_samples& samples = entry.second;
-    const double total = samples.total.Value(now, time_constant_);
-    if (total >= kMinimumPeerSamples) {
-      failure_shares.push_back(samples.failures.Value(now, time_constant_) /
-                               total);
-      slow_shares.push_back(samples.slow.Value(now, time_constant_) / total);
+    if (samples.outcomes.Total(now, time_constant_) >= kMinimumPeerSamples) {
+      failure_shares.push_back(samples.outcomes.failure_share());
+      slow_shares.push_back(samples.outcomes.slow_share());
     }
     const std::optional<duration> median = samples.durations.Median();
     if (median) {
@@ -91,10 +97,7 @@
                                  bool is_failure,
                                  bool is_slow,
                                  time_point now) {
-  target_samples& samples = Samples(target);
-  samples.total.Add(1.0, now, time_constant_);
-  samples.failures.Add(is_failure ? 1.0 : 0.0, now, time_constant_);
-  samples.slow.Add(is_slow ? 1.0 : 0.0, now, time_constant_);
+  Samples(target).outcomes.Add(is_failure, is_slow, now, time_constant_);
 }
 
 void kind_statistics::AddDuration(std::string_view target, duration elapsed) {
--- a/libraries/health/kind_statistics.h
+++ b/libraries/health/kind_statistics.h
@@ -12,14 +12,27 @@
 
 namespace bulrushshore {
 
-// A count that forgets exponentially. Not thread safe.
-class decaying_count {
+// Counts of outcomes that forget exponentially. Not thread safe.
+class outcome_counts {
  public:
-  void Add(double amount, time_point now, duration time_constant);
-  double Value(time_point now, duration time_constant) const;
+  void Add(bool is_failure,
+           bool is_slow,
+           time_point now,
+           duration time_constant);
+
+  // Returns the number of outcomes, weighted by age.
+  double Total(time_point now, duration time_constant) const;
+
+  // Return shares of all outcomes; 0 without any.
+  double failure_share() const { return Share(failures_); }
+  double slow_share() const { return Share(slow_); }
 
  private:
-  double value_ = 0.0;
+  double Share(double part) const { return total_ > 0.0 ? part / total_ : 0.0; }
+
+  double total_ = 0.0;
+  double failures_ = 0.0;
+  double slow_ = 0.0;
   time_point updated_;
 };
 
@@ -68,9 +81,7 @@
 
  private:
   struct target_samples {
-    decaying_count total;
-    decaying_count failures;
-    decaying_count slow;
+    outcome_counts outcomes;
     duration_window durations;
   };
 
--- a/libraries/health/outlier_decisions.cc
+++ b/libraries/health/outlier_decisions.cc
@@ -24,30 +24,49 @@
 // worse; otherwise two similar targets would take turns.
 constexpr double kSwapSeverityRatio = 2.0;
 constexpr double kSlownessSeverity = 0.25;
+// This many failures without any success between them are a total failure of
+// the targets involved.
+constexpr std::uint32_t kTotalFailureCount = 6;
 constexpr std::uint32_t kMinimumUnhealthyTargets = 2;
 constexpr std::uint32_t kMaximumDoublings = 16;
 
 }  // namespace
 
 bool outlier_detector::IsCandidate(const record& value) const {
-  return IsInUse(value) &&
-         std::max(value.failures.score(), value.slowness.score()) >=
-             options_.ejection_score;
+  if (!IsInUse(value) || value.last_bad <= value.last_good) {
+    return false;
+  }
+  // The score of a target that was kept for the floor stays high for a while
+  // after its recovery. It is not ejected for that when another one returns, so
+  // that the newest answer has to be of the kind that the score counts.
+  const bool is_failing = value.failures.score() >= options_.ejection_score;
+  const bool is_slow = value.slowness.score() >= options_.ejection_score;
+  return value.last_failure == value.last_bad ? is_failing : is_slow;
 }
 
-double outlier_detector::RecentFailureShare(const record& value,
-                                            time_point now) const {
-  const double total =
-      value.recent_total.Value(now, options_.evidence_time_constant);
-  const double failures =
-      value.recent_failures.Value(now, options_.evidence_time_constant);
-  return total > 0.0 ? failures / total : 0.0;
+// A fault of the host or of the whole service stops the good answers of all
+// targets at about the same time. The others have to have given good answers
+// between the beginning of the suspicion and the candidate's newest bad answer.
+bool outlier_detector::IsWorseThanOthers(const record& candidate) const {
+  std::uint32_t others = 0;
+  std::uint32_t good = 0;
+  for (const record_map::value_type& entry : records_) {
+    const record& other = entry.second;
+    if (&other == &candidate || !IsInUse(other)) {
+      continue;
+    }
+    ++others;
+    const bool is_good = other.last_good > candidate.suspected_since &&
+                         other.last_good <= candidate.last_bad;
+    good += is_good ? 1 : 0;
+  }
+  return 2 * good >= others;
 }
 
-double outlier_detector::Severity(const record& value, time_point now) const {
+double outlier_detector::Severity(const record& value) const {
   const double slowness =
       std::min(1.0, value.slowness.score() / options_.ejection_score);
-  return RecentFailureShare(value, now) + kSlownessSeverity * slowness;
+  return value.recent.failure_share() + kSlownessSeverity * slowness;
 }
 
 void outlier_detector::EjectCandidates(time_point now) {
@@ -56,8 +75,8 @@
   }
   std::vector<record_map::iterator> candidates;
   for (auto entry = records_.begin(); entry != records_.end(); ++entry) {
-    if (IsCandidate(entry->second)) {
-      entry->second.severity = Severity(entry->second, now);
+    if (IsCandidate(entry->second) && IsWorseThanOthers(entry->second)) {
+      entry->second.severity = Severity(entry->second);
       candidates.push_back(entry);
     }
   }
@@ -187,9 +206,13 @@
   if (value.failures.score() >= limit || value.slowness.score() >= limit) {
     return true;
   }
-  return value.recent_total.Value(now, options_.evidence_time_constant) >=
+  if (failures_in_a_row_ >= kTotalFailureCount &&
+      value.last_failure > last_success_) {
+    return true;
+  }
+  return value.recent.Total(now, options_.evidence_time_constant) >=
              kMinimumRecentSamples &&
-         RecentFailureShare(value, now) >= kUnhealthyFailureShare;
+         value.recent.failure_share() >= kUnhealthyFailureShare;
 }
 
 void outlier_detector::UpdateSelfSuspicion(time_point now) {
@@ -199,7 +222,7 @@
   for (const record_map::value_type& entry : records_) {
     const record& value = entry.second;
     const bool has_evidence =
-        value.recent_total.Value(now, options_.evidence_time_constant) >= 1.0;
+        value.recent.Total(now, options_.evidence_time_constant) >= 1.0;
     if (value.state == health_state::kDraining ||
         (IsInUse(value) && !has_evidence)) {
       continue;
--- a/libraries/health/outlier_detector.cc
+++ b/libraries/health/outlier_detector.cc
@@ -105,9 +105,7 @@
   if (observed.type == evidence_type::kSuccess) {
     statistics.AddDuration(target, observed.elapsed);
   }
-  value.recent_total.Add(1.0, now, options_.evidence_time_constant);
-  value.recent_failures.Add(is_failure ? 1.0 : 0.0, now,
-                            options_.evidence_time_constant);
+  NoteOutcome(value, is_failure, is_slow, now);
   value.peer_failure_share = reference.failure_share;
   if (value.state == health_state::kTrial && observed.is_trial) {
     const bool is_slow_again =
@@ -242,6 +240,26 @@
          value.state == health_state::kSlowStart;
 }
 
+void outlier_detector::NoteOutcome(record& value,
+                                   bool is_failure,
+                                   bool is_slow,
+                                   time_point now) {
+  value.recent.Add(is_failure, is_slow, now, options_.evidence_time_constant);
+  const bool is_bad = is_failure || is_slow;
+  if (is_bad && value.failures.score() == 0.0 &&
+      value.slowness.score() == 0.0) {
+    value.suspected_since = now;
+  }
+  (is_bad ? value.last_bad : value.last_good) = now;
+  if (is_failure) {
+    value.last_failure = now;
+    ++failures_in_a_row_;
+  } else {
+    last_success_ = now;
+    failures_in_a_row_ = 0;
+  }
+}
+
 bool outlier_detector::IsFailure(const evidence& observed,
                                  const peer_reference& reference) const {
   switch (observed.type) {
@@ -292,12 +310,11 @@
   if (type == health_event_type::kEjected) {
     event.ejection_time = value.ejected_until - now;
   }
-  const double total =
-      value.recent_total.Value(now, options_.evidence_time_constant);
   event.figures.failure_score = value.failures.score();
   event.figures.slowness_score = value.slowness.score();
-  event.figures.failure_share = RecentFailureShare(value, now);
-  event.figures.samples = total;
+  event.figures.failure_share = value.recent.failure_share();
+  event.figures.samples =
+      value.recent.Total(now, options_.evidence_time_constant);
   event.figures.peer_failure_share = value.peer_failure_share;
   event.figures.slots_in_use = SlotsInUse();
   event.figures.floor_slots = FloorSlots();
--- a/libraries/health/outlier_detector.h
+++ b/libraries/health/outlier_detector.h
@@ -87,8 +87,12 @@
     time_point since;
     sequential_test failures;
     sequential_test slowness;
-    decaying_count recent_total;
-    decaying_count recent_failures;
+    outcome_counts recent;
+    // Start of the present suspicion: the first event since a score was 0.
+    time_point suspected_since;
+    time_point last_good;
+    time_point last_bad;
+    time_point last_failure;
     std::uint32_t ejections = 0;
     time_point ejections_decayed_at;
     time_point ejected_until;
@@ -101,8 +105,8 @@
 
   static bool IsInUse(const record& value);
   bool IsCandidate(const record& value) const;
-  double RecentFailureShare(const record& value, time_point now) const;
-  double Severity(const record& value, time_point now) const;
+  bool IsWorseThanOthers(const record& candidate) const;
+  double Severity(const record& value) const;
   static void Enter(record& value,
                     health_state state,
                     health_reason reason,
@@ -133,6 +137,10 @@
   void KeepFloor(time_point now);
   void UpdateSelfSuspicion(time_point now);
   bool LooksUnhealthy(const record& value, time_point now) const;
+  void NoteOutcome(record& value,
+                   bool is_failure,
+                   bool is_slow,
+                   time_point now);
   void AdvanceRecord(std::string_view name, record& value, time_point now);
   kind_statistics& Kind(std::string_view kind);
 
@@ -144,6 +152,9 @@
   bool is_self_suspect_ = false;
   time_point suspect_since_;
   time_point suspicion_updated_;
+  // Failures of any targets since the newest success of any target.
+  std::uint32_t failures_in_a_row_ = 0;
+  time_point last_success_;
   std::vector<health_event> events_;
 };
 
--- a/tests/dispatch/service_controller_test.cc
+++ b/tests/dispatch/service_controller_test.cc
@@ -143,6 +143,41 @@
   EXPECT_EQ(controller->Advance(now).size(), 3U);
 }
 
+// Guards against long work that fills what targets shared with other hosts
+// bear, although it stays below half of the slots of each.
+TEST_F(ServiceControllerTest, LimitsLongWorkToHalfOfWhatTheTargetsBear) {
+  Start(MakeCatalog(4, 6));
+  RunRequests(40);
+  RunRequests(20, "photo", std::chrono::milliseconds(400));
+  RunRequests(40);
+  for (int index = 0; index < 4; ++index) {
+    acquire_request directed = MakeRequest();
+    for (int other = 0; other < 4; ++other) {
+      if (other != index) {
+        directed.excluded_targets.push_back("t" + std::to_string(other));
+      }
+    }
+    const std::uint64_t first = MustStart(directed).id;
+    const std::uint64_t second = MustStart(directed).id;
+    Release(first, attempt_result::kShed);
+    Release(second);
+  }
+  std::vector<std::uint64_t> running;
+  running.reserve(4);
+  for (int request = 0; request < 4; ++request) {
+    running.push_back(MustStart(MakeRequest()).id);
+  }
+  EXPECT_FALSE(Acquire(MakeRequest()).has_value());
+  for (const std::uint64_t grant_id : running) {
+    Release(grant_id);
+  }
+  std::size_t started = 0;
+  for (int request = 0; request < 4; ++request) {
+    started += Acquire(MakeRequest("photo")).has_value() ? 1 : 0;
+  }
+  EXPECT_EQ(started, 2U);
+}
+
 // Guards against retries without a bound.
 TEST_F(ServiceControllerTest, ChargesRetriesToTheBudget) {
   Start(MakeCatalog(3));
--- a/tests/health/floor_property_test.cc
+++ b/tests/health/floor_property_test.cc
@@ -145,5 +145,28 @@
   EXPECT_DOUBLE_EQ(weight, 0.2);
 }
 
+// Guards against the ejection of a kept target for its past, when another
+// target returns and leaves room for an ejection.
+TEST(FloorTest, DoesNotEjectAKeptTargetThatHasRecovered) {
+  health_options options;
+  options.first_ejection_time = std::chrono::seconds(1);
+  options.trials_to_readmit = 1;
+  detector_driver service(6, options);
+  const detector_driver::script healthy = [](const std::string&, int) {
+    return detector_driver::Success();
+  };
+  service.Run(50, healthy);
+  service.Run(12, [](const std::string& name, int) {
+    return name <= "t1" ? detector_driver::Failure()
+                        : detector_driver::Success();
+  });
+  ASSERT_EQ(service.CountEvents(health_event_type::kKeptForFloor), 1U);
+  service.events.clear();
+  service.Run(200, healthy);
+  EXPECT_EQ(service.CountEvents(health_event_type::kEjected), 0U);
+  EXPECT_EQ(service.State("t0"), health_state::kHealthy);
+  EXPECT_EQ(service.State("t1"), health_state::kHealthy);
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/health/self_suspicion_test.cc
+++ b/tests/health/self_suspicion_test.cc
@@ -27,6 +27,18 @@
       << "evidence of the partition is used after it";
 }
 
+// Guards against the ejection of the first target that reaches the score when
+// the answers of all targets stop at the same time.
+TEST(SelfSuspicionTest, ATargetIsEjectedOnlyWhileOthersGiveGoodAnswers) {
+  health_options options;
+  options.is_self_suspicion_enabled = false;
+  driver service(6, options);
+  service.Run(100, HealthyScript);
+  service.Run(100, [](const std::string&, int) { return driver::Failure(); });
+  service.Run(100, HealthyScript);
+  EXPECT_EQ(service.CountEvents(health_event_type::kEjected), 0U);
+}
+
 // Guards against self-suspicion when an availability zone is lost.
 TEST(SelfSuspicionTest, AThirdOfTheTargetsIsNotTheHost) {
   driver service(6);
