--- a/libraries/membership/membership_actor.cc
+++ b/libraries/membership/membership_actor.cc
@@ -1,5 +1,6 @@
 #include "libraries/membership/membership_actor.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <caf/send.hpp>
@@ -14,6 +15,9 @@
 // Leaves the helper its own time-out, rounded up to the next round.
 constexpr std::chrono::milliseconds kSuspectCheckTimeout(2500);
 constexpr std::chrono::seconds kKeyGenerationLength(60);
+// The table of keys counts generations from a start of its own and refuses
+// those that it has not reached yet; older ones it still takes.
+constexpr std::chrono::seconds kKeyGenerationDelay(5);
 
 duration TimeoutOf(const peer_body& body) {
   if (std::holds_alternative<suspect_check_message>(body)) {
@@ -95,8 +99,10 @@
   const time_point now = clock().now();
   delayed_send(this, arguments_.options.round_interval, membership_round_due());
   arguments_.messenger->ExpireRequests();
+  const duration age =
+      std::max<duration>(now - started_ - kKeyGenerationDelay, duration(0));
   rounds_.view().RaiseSelfCounters(
-      static_cast<std::uint64_t>((now - started_) / kKeyGenerationLength), 0);
+      static_cast<std::uint64_t>(age / kKeyGenerationLength), 0);
   SendCalls(rounds_.StartRound(now));
   Publish(true);
 }
--- a/libraries/membership/membership_agent.h
+++ b/libraries/membership/membership_agent.h
@@ -100,6 +100,12 @@
   // Returns the newest copy of the view; never null.
   std::shared_ptr<const membership_snapshot> Snapshot() const;
 
+  // Returns where copies are published, for readers that may outlive this
+  // object.
+  std::shared_ptr<const published<membership_snapshot>> publisher() const {
+    return published_;
+  }
+
  private:
   std::shared_ptr<published<membership_snapshot>> published_;
   caf::actor actor_;
--- a/libraries/peer_protocol/message_codec.cc
+++ b/libraries/peer_protocol/message_codec.cc
@@ -126,12 +126,15 @@
 }
 
 nlohmann::json EncodeBody(const parts_request_message& body) {
-  return {{"digest", body.digest}, {"offset", body.offset}};
+  return {{"digest", body.digest},
+          {"offset", body.offset},
+          {"version_only", body.is_version_query}};
 }
 
 void ReadBody(message_fields& fields, parts_request_message& body) {
   body.digest = fields.OptionalIdentifier("digest");
   body.offset = fields.Unsigned("offset");
+  body.is_version_query = fields.Boolean("version_only");
 }
 
 nlohmann::json EncodeBody(const parts_reply_message& body) {
--- a/libraries/peer_protocol/messages.h
+++ b/libraries/peer_protocol/messages.h
@@ -94,6 +94,8 @@
 struct parts_request_message {
   std::string digest;
   std::uint64_t offset = 0;
+  // Asks for the version in force only; the reply carries no bytes.
+  bool is_version_query = false;
 
   bool operator==(const parts_request_message&) const = default;
 };
--- a/libraries/peer_protocol/peer_messenger.cc
+++ b/libraries/peer_protocol/peer_messenger.cc
@@ -48,9 +48,12 @@
 
 void peer_messenger::Stop() {
   transport_.Stop();
+  // Handlers hold actors that hold this object.
+  request_handlers_.clear();
   std::map<std::uint64_t, pending_request> abandoned;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    is_stopped_ = true;
     abandoned.swap(pending_);
   }
   for (std::map<std::uint64_t, pending_request>::value_type& entry :
@@ -86,6 +89,21 @@
   }
 }
 
+void peer_messenger::Schedule(duration delay, std::function<void()> action) {
+  pending_request pending;
+  pending.deadline = clock_.Now() + delay;
+  pending.handler = [action = std::move(action)](const result<peer_body>&) {
+    action();
+  };
+  const std::lock_guard<std::mutex> lock(mutex_);
+  pending_.emplace(next_id_++, std::move(pending));
+}
+
+bool peer_messenger::is_stopped() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return is_stopped_;
+}
+
 void peer_messenger::Reply(const peer_request& request, peer_body body) {
   assert(IsReply(body));
   const peer_message message{request.id, self_id_, std::move(body)};
@@ -105,11 +123,11 @@
         ++entry;
         continue;
       }
+      timeouts_.Increment(entry->second.reply_type == kNoReply ? 0 : 1);
       expired.push_back(std::move(entry->second.handler));
       entry = pending_.erase(entry);
     }
   }
-  timeouts_.Increment(expired.size());
   for (const reply_handler& handler : expired) {
     handler(error{error_code::kDeadlineExceeded, "the peer did not reply"});
   }
--- a/libraries/peer_protocol/peer_messenger.h
+++ b/libraries/peer_protocol/peer_messenger.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "libraries/base/clock.h"
 #include "libraries/base/result.h"
@@ -60,6 +61,12 @@
                duration timeout,
                reply_handler handler);
 
+  // Calls `action` once after `delay`, or at Stop().
+  void Schedule(duration delay, std::function<void()> action);
+
+  // Returns true after Stop() was called.
+  bool is_stopped() const;
+
   // Answers a request; the answer is dropped if the connection is gone.
   // Precondition: IsReply(body).
   void Reply(const peer_request& request, peer_body body);
@@ -72,9 +79,11 @@
   std::size_t pending_requests() const;
 
  private:
+  static constexpr std::size_t kNoReply = std::variant_size_v<peer_body>;
+
   struct pending_request {
-    // Index of the reply type in peer_body.
-    std::size_t reply_type = 0;
+    // Index of the reply type in peer_body; kNoReply for a scheduled action.
+    std::size_t reply_type = kNoReply;
     time_point deadline;
     reply_handler handler;
   };
@@ -98,6 +107,7 @@
   // Written before Start() only.
   std::map<std::size_t, request_handler> request_handlers_;
   mutable std::mutex mutex_;
+  bool is_stopped_ = false;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, pending_request> pending_;
 };
--- a/tests/peer_protocol/message_codec_test.cc
+++ b/tests/peer_protocol/message_codec_test.cc
@@ -47,7 +47,7 @@
           reply,
           suspect_check_message{"host-1", {"127.0.0.1", 9001}},
           suspect_check_reply_message{"host-1", true},
-          parts_request_message{"abc", 6},
+          parts_request_message{"abc", 6, true},
           parts,
           handover,
           handover_ack_message{"00000000000000ff", true, 3, true}};
