--- a/libraries/caller/caller.cc
+++ b/libraries/caller/caller.cc
@@ -12,6 +12,13 @@
 constexpr std::chrono::seconds kKeyPrefixTimeout(1);
 constexpr int kOk = 200;
 
+// Reasons that every later attempt with the same key would be given as well
+// (docs/outcomes.md).
+bool IsLastingReason(std::string_view reason) {
+  return reason == "key-expired" || reason == "key-outcome-unknown" ||
+         reason == "key-response-not-kept";
+}
+
 // Returns the host id in a key of the form bk1.<host id>..., or nothing.
 std::string_view HostOfKey(std::string_view key) {
   constexpr std::string_view kFormat = "bk1.";
@@ -140,12 +147,12 @@
   if (is_recent && IsKeyPrefix(host.key_prefix)) {
     return host.key_prefix;
   }
-  http_request request;
+  host_request request;
   request.path = "/_bulrush/key";
   const transport_result exchanged = transport_.Exchange(
       host.address, request,
       std::min<duration>(kKeyPrefixTimeout, state.deadline - clock_.Now()));
-  const http_response* const response = std::get_if<http_response>(&exchanged);
+  const host_response* const response = std::get_if<host_response>(&exchanged);
   if (response == nullptr || response->status != kOk) {
     return std::nullopt;
   }
@@ -175,7 +182,7 @@
   transport_result exchanged =
       transport_.Exchange(host.address, BuildRequest(state, attempt),
                           state.deadline - clock_.Now());
-  if (http_response* const response = std::get_if<http_response>(&exchanged)) {
+  if (host_response* const response = std::get_if<host_response>(&exchanged)) {
     attempt.outcome = ClassifyResponse(*response);
     attempt.status = response->status;
     attempt.reason = std::string(
@@ -228,13 +235,14 @@
   }
   if (attempt.outcome == call_outcome::kUnknown) {
     state.can_have_run = true;
-    state.is_final = state.request.repeat == repeat_policy::kOnce;
+    state.is_final = state.request.repeat == repeat_policy::kOnce ||
+                     IsLastingReason(attempt.reason);
     state.outcome.outcome = call_outcome::kUnknown;
   }
   // The owner of the key answers for it without a detour over another host.
   const bool stays_with_owner = state.is_key_bound &&
                                 attempt.outcome == call_outcome::kNotRun &&
-                                attempt.reason != "shutting_down";
+                                attempt.reason != "shutting-down";
   if (!stays_with_owner) {
     ++state.next_host;
   }
@@ -267,9 +275,9 @@
   return true;
 }
 
-http_request caller::BuildRequest(const call_state& state,
+host_request caller::BuildRequest(const call_state& state,
                                   const call_attempt& attempt) const {
-  http_request request = state.request.http;
+  host_request request = state.request.http;
   const std::int64_t left_ms = std::max<std::int64_t>(
       ToMilliseconds(state.deadline - clock_.Now()).count(), 1);
   request.headers.emplace_back("X-Request-Id", attempt.request_id);
--- a/libraries/caller/caller.h
+++ b/libraries/caller/caller.h
@@ -31,7 +31,7 @@
 
 struct call_request {
   std::string service;
-  http_request http;
+  host_request http;
   repeat_policy repeat = repeat_policy::kIdempotent;
   std::string organisation;
   // Attempt N sends "<request_id>.<N>" in X-Request-Id. Must be unique.
@@ -59,7 +59,7 @@
 struct call_result {
   call_outcome outcome = call_outcome::kNotRun;
   // The last response, if there was one.
-  std::optional<http_response> response;
+  std::optional<host_response> response;
   // The key to send the same work again with; empty if none was made.
   std::string key;
   // The host that gave the last response.
@@ -124,7 +124,7 @@
   void NoteConnectFailure(call_state& state, const discovered_host& host);
   void NoteEnd(call_state& state, const call_attempt& attempt);
   bool WaitBeforeRetry(call_state& state);
-  http_request BuildRequest(const call_state& state,
+  host_request BuildRequest(const call_state& state,
                             const call_attempt& attempt) const;
   bool IsAvoided(const endpoint& address);
   std::uint64_t DrawUniform(std::uint64_t bound);
--- a/libraries/caller/caller_transport.h
+++ b/libraries/caller/caller_transport.h
@@ -14,25 +14,25 @@
 
 namespace bulrushshore {
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
+using header_list = std::vector<std::pair<std::string, std::string>>;
 
 // Returns the first value of the header `name`, compared without regard to
 // case, or nothing. Thread safe.
-std::optional<std::string_view> FindHeader(const http_headers& headers,
+std::optional<std::string_view> FindHeader(const header_list& headers,
                                            std::string_view name);
 
-struct http_request {
+struct host_request {
   std::string method = "GET";
   // Path with the query, as it is sent.
   std::string path = "/";
-  http_headers headers;
+  header_list headers;
   std::string body;
 };
 
 // A complete response: its framing was checked.
-struct http_response {
+struct host_response {
   int status = 0;
-  http_headers headers;
+  header_list headers;
   std::string body;
 };
 
@@ -49,7 +49,7 @@
 // Returns the stable lower-case name of `failure`. Thread safe.
 std::string_view TransportFailureName(transport_failure failure);
 
-using transport_result = std::variant<http_response, transport_failure>;
+using transport_result = std::variant<host_response, transport_failure>;
 
 // Sends HTTP requests to hosts.
 class caller_transport {
@@ -59,7 +59,7 @@
   // Sends `request` once and waits up to `timeout` for the complete response.
   // Never sends a request a second time on its own. Thread safe.
   virtual transport_result Exchange(const endpoint& address,
-                                    const http_request& request,
+                                    const host_request& request,
                                     duration timeout) = 0;
 };
 
--- a/libraries/caller/discovery_cache.cc
+++ b/libraries/caller/discovery_cache.cc
@@ -182,13 +182,13 @@
 result<discovery_cache::fetched_list> discovery_cache::Ask(
     const endpoint& address,
     std::string_view service) {
-  http_request request;
+  host_request request;
   request.path =
       "/_bulrush/hosts?service=" + EncodeQueryValue(service) +
       (zone_.empty() ? std::string() : "&zone=" + EncodeQueryValue(zone_));
   const transport_result exchanged =
       transport_.Exchange(address, request, kFetchTimeout);
-  const http_response* const response = std::get_if<http_response>(&exchanged);
+  const host_response* const response = std::get_if<host_response>(&exchanged);
   if (response == nullptr) {
     return error{error_code::kUnavailable, "no host answered"};
   }
--- a/libraries/caller/http_transport.cc
+++ b/libraries/caller/http_transport.cc
@@ -38,7 +38,7 @@
          response.has_header("Transfer-Encoding");
 }
 
-httplib::Request ToLibraryRequest(const http_request& request) {
+httplib::Request ToLibraryRequest(const host_request& request) {
   httplib::Request converted;
   converted.method = request.method;
   converted.path = request.path;
@@ -49,8 +49,8 @@
   return converted;
 }
 
-http_response FromLibraryResponse(httplib::Response& response) {
-  http_response converted;
+host_response FromLibraryResponse(httplib::Response& response) {
+  host_response converted;
   converted.status = response.status;
   for (const std::pair<const std::string, std::string>& header :
        response.headers) {
@@ -62,7 +62,7 @@
 
 }  // namespace
 
-std::optional<std::string_view> FindHeader(const http_headers& headers,
+std::optional<std::string_view> FindHeader(const header_list& headers,
                                            std::string_view name) {
   const auto found = std::find_if(
       headers.begin(), headers.end(),
@@ -94,7 +94,7 @@
 http_transport::~http_transport() = default;
 
 transport_result http_transport::Exchange(const endpoint& address,
-                                          const http_request& request,
+                                          const host_request& request,
                                           duration timeout) {
   const time_point deadline = clock_.Now() + timeout;
   std::unique_ptr<httplib::Client> client = TakeClient(address);
--- a/libraries/caller/http_transport.h
+++ b/libraries/caller/http_transport.h
@@ -23,7 +23,7 @@
   ~http_transport() override;
 
   transport_result Exchange(const endpoint& address,
-                            const http_request& request,
+                            const host_request& request,
                             duration timeout) override;
 
  private:
--- a/libraries/caller/outcome.cc
+++ b/libraries/caller/outcome.cc
@@ -19,7 +19,7 @@
   return "unknown";
 }
 
-call_outcome ClassifyResponse(const http_response& response) {
+call_outcome ClassifyResponse(const host_response& response) {
   const std::optional<std::string_view> header =
       FindHeader(response.headers, "X-Outcome");
   if (!header || *header == "answered") {
@@ -40,7 +40,7 @@
                                                       : call_outcome::kUnknown;
 }
 
-std::optional<duration> RetryAfterOf(const http_response& response) {
+std::optional<duration> RetryAfterOf(const host_response& response) {
   const std::optional<std::string_view> header =
       FindHeader(response.headers, "Retry-After");
   if (!header) {
--- a/libraries/caller/outcome.h
+++ b/libraries/caller/outcome.h
@@ -26,14 +26,14 @@
 
 // Reads the outcome from the X-Outcome header. A response without this header
 // is the target's own. Thread safe.
-call_outcome ClassifyResponse(const http_response& response);
+call_outcome ClassifyResponse(const host_response& response);
 
 // Returns the outcome of an attempt that got no response. Thread safe.
 call_outcome ClassifyFailure(transport_failure failure);
 
 // Returns the delay that the Retry-After header asks for, in seconds; nothing
 // if it is missing or no number. Thread safe.
-std::optional<duration> RetryAfterOf(const http_response& response);
+std::optional<duration> RetryAfterOf(const host_response& response);
 
 }  // namespace bulrushshore
 
--- a/utilities/caller_tool/history_recorder.cc
+++ b/utilities/caller_tool/history_recorder.cc
@@ -39,7 +39,7 @@
   return recorded_repeat::kOnce;
 }
 
-recorded_answer ReadAnswer(const http_response& response) {
+recorded_answer ReadAnswer(const host_response& response) {
   const result<work_answer> parsed = ParseWorkAnswer(response.body);
   if (!IsOk(parsed)) {
     return {};
--- a/utilities/caller_tool/work_mix.cc
+++ b/utilities/caller_tool/work_mix.cc
@@ -106,17 +106,16 @@
   }
   std::vector<planned_request> requests;
   const std::chrono::duration<double> length = plan.length;
-  double seconds = 0.0;
-  while (seconds < length.count()) {
+  double arrival = 0.0;  // In units of the mean gap, so that sums are exact.
+  const double end = length.count() * plan.requests_per_second;
+  while (arrival < end) {
     planned_request request;
     request.arrival = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(seconds));
+        std::chrono::duration<double>(arrival / plan.requests_per_second));
     request.kind = &DrawKind(kinds, total_weight, random);
     request.organisation = random.Uniform(plan.organisations);
     requests.push_back(request);
-    const double gap =
-        plan.is_poisson ? -std::log(1.0 - random.UniformReal()) : 1.0;
-    seconds += gap / plan.requests_per_second;
+    arrival += plan.is_poisson ? -std::log(1.0 - random.UniformReal()) : 1.0;
   }
   return requests;
 }
