Connect the host daemon to the fleet

Cause: a daemon knew only itself and read the configuration from the store alone. Change: membership, configuration, discovery and the hand-over of keys come from fleet_agent; the platform's machine list marks leaving targets; only the targets of services assigned to this host are probed, because 600 hosts that probe 7,800 targets every 2 s would be 2.3 million probes/s.

--- a/services/host_daemon/discovery_endpoints.cc
+++ b/services/host_daemon/discovery_endpoints.cc
@@ -16,9 +16,7 @@
 }
 
 result<nlohmann::json> HostsAnswer(const query_parameters& query,
-                                   const host_directory& directory,
-                                   const snapshot_source& configuration,
-                                   const discovery_options& options) {
+                                   const fleet_agent& fleet) {
   discovery_query question;
   question.service = Parameter(query, "service");
   question.zone = Parameter(query, "zone");
@@ -32,8 +30,7 @@
     // spread over the hosts as well.
     question.caller = FormatHex(seeded_random::FromSystemEntropy().Next());
   }
-  const result<std::string> text = DiscoveryResponse(
-      question, directory.Hosts(), *configuration.Current(), options);
+  const result<std::string> text = fleet.Discover(question);
   if (!IsOk(text)) {
     return ErrorOf(text);
   }
@@ -43,17 +40,14 @@
 
 }  // namespace
 
-discovery_handler MakeDiscoveryHandler(const host_directory& directory,
-                                       const snapshot_source& configuration,
-                                       const discovery_options& options) {
-  return [&directory, &configuration, options](
-             std::string_view path,
-             const query_parameters& query) -> result<nlohmann::json> {
+discovery_handler MakeDiscoveryHandler(const fleet_agent& fleet) {
+  return [&fleet](std::string_view path,
+                  const query_parameters& query) -> result<nlohmann::json> {
     if (path == kHostsPath) {
-      return HostsAnswer(query, directory, configuration, options);
+      return HostsAnswer(query, fleet);
     }
     if (path == kKeyPath) {
-      const host_record self = directory.Self();
+      const host_record self = fleet.directory().Self();
       return nlohmann::json(
           {{"key_prefix", KeyPrefix(self)}, {"host", self.id}});
     }
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -1,6 +1,11 @@
 #include "services/host_daemon/host_daemon.h"
 
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -12,19 +17,22 @@
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
 #include "libraries/dispatch/service_dispatcher.h"
+#include "libraries/fleet/fleet_agent.h"
+#include "libraries/idempotency/handover.h"
 #include "libraries/idempotency/key_owner.h"
+#include "libraries/membership/host_assignment.h"
 #include "libraries/probing/http_probe_client.h"
 #include "libraries/probing/target_prober.h"
 #include "libraries/proxy/key_claims.h"
 #include "libraries/proxy/proxy_service.h"
+#include "libraries/store/http_machine_list.h"
 #include "libraries/store/http_object_store.h"
 #include "libraries/telemetry/audit.h"
 #include "libraries/telemetry/log.h"
 #include "libraries/telemetry/metrics.h"
 #include "services/host_daemon/admin_server.h"
-#include "services/host_daemon/catalog_watcher.h"
 #include "services/host_daemon/discovery_endpoints.h"
-#include "services/host_daemon/single_host_directory.h"
+#include "services/host_daemon/draining_machine_poller.h"
 #include "services/host_daemon/status_report.h"
 
 namespace bulrushshore {
@@ -32,6 +40,10 @@
 
 constexpr std::size_t kAuditCapacity = 1'000;
 constexpr std::chrono::milliseconds kProbeTimeout(1'000);
+constexpr std::size_t kProbeWorkers = 4;
+// A leaving target must stop receiving new work within 3 s.
+constexpr std::chrono::milliseconds kMachineListInterval(2'000);
+constexpr std::chrono::seconds kHandoverLimit(5);
 
 // Holds the actor system's configuration, which must be complete before the
 // system is made.
@@ -44,18 +56,6 @@
   }
 };
 
-host_record MakeSelfRecord(const daemon_settings& settings,
-                           const std::string& incarnation) {
-  host_record self;
-  self.id = settings.id;
-  self.zone = settings.zone;
-  self.caller_address = settings.caller_address;
-  self.peer_address = settings.peer_address;
-  self.incarnation = incarnation;
-  self.sequence = 1;
-  return self;
-}
-
 proxy_options MakeProxyOptions(const daemon_settings& settings) {
   proxy_options options;
   options.host_id = settings.id;
@@ -64,12 +64,45 @@
   return options;
 }
 
-std::vector<probed_target> ListTargets(const catalog_snapshot& snapshot) {
+// Returns the services that the discovery responses assign to this host. Only
+// their targets are probed here: with 600 hosts a target would otherwise spend
+// its time on probes.
+std::set<std::string> AssignedServices(const catalog_snapshot& snapshot,
+                                       const host_directory& directory,
+                                       const assignment_rules& rules) {
+  std::map<std::string, std::uint64_t> slots;
+  for (const std::map<std::string, target>::value_type& entry :
+       snapshot.contents.targets) {
+    slots[entry.second.service] += entry.second.slots;
+  }
+  const std::vector<host_record> hosts = directory.Hosts();
+  const std::string self_id = directory.Self().id;
+  std::set<std::string> assigned;
+  for (const std::map<std::string, std::uint64_t>::value_type& entry : slots) {
+    const std::vector<const host_record*> members =
+        AssignHosts(entry.first, entry.second, hosts, rules);
+    const bool is_member = std::any_of(
+        members.begin(), members.end(),
+        [&self_id](const host_record* host) { return host->id == self_id; });
+    if (is_member) {
+      assigned.insert(entry.first);
+    }
+  }
+  return assigned;
+}
+
+std::vector<probed_target> ListAssignedTargets(
+    const catalog_snapshot& snapshot,
+    const host_directory& directory) {
+  const std::set<std::string> assigned =
+      AssignedServices(snapshot, directory, {});
   std::vector<probed_target> targets;
   for (const std::map<std::string, target>::value_type& entry :
        snapshot.contents.targets) {
-    targets.push_back(
-        {entry.second.service, entry.second.name, entry.second.address});
+    if (assigned.contains(entry.second.service)) {
+      targets.push_back(
+          {entry.second.service, entry.second.name, entry.second.address});
+    }
   }
   return targets;
 }
@@ -84,21 +117,15 @@
         time_source(system.clock()),
         audit(kAuditCapacity),
         store({settings.store_address, settings.store_timeout}, time_source),
+        machines({settings.store_address, settings.store_timeout}, time_source),
         incarnation(FormatHex(seeded_random::FromSystemEntropy().Next())),
-        directory(MakeSelfRecord(settings, incarnation)),
         targets(system, {settings.id, settings.zone, {}, {}}, audit, metrics),
-        configuration(store,
-                      [this](std::shared_ptr<const catalog_snapshot> snapshot) {
-                        OnSnapshot(std::move(snapshot));
-                      }),
         keys(system, {}, incarnation),
+        fleet({system, store, metrics, audit}, MakeFleetOptions(settings)),
         claims(store, time_source, {}),
         proxy(MakeProxyOptions(settings),
-              {configuration, targets, directory, keys, claims, time_source,
-               metrics,
-               MakeDiscoveryHandler(directory,
-                                    configuration,
-                                    {{}, settings.discovery_ttl})}),
+              {fleet.snapshots(), targets, fleet.directory(), keys, claims,
+               time_source, metrics, MakeDiscoveryHandler(fleet)}),
         probe_client(kProbeTimeout),
         admin({[this] { return UnreadyReasons(); },
                [this] { return DescribeStatus(); },
@@ -108,55 +135,106 @@
               metrics,
               audit) {}
 
-  void StartProbes(std::chrono::milliseconds interval) {
-    if (interval <= std::chrono::milliseconds::zero()) {
+  void StartPolling(std::chrono::milliseconds probe_interval) {
+    machine_poller = std::make_unique<draining_machine_poller>(
+        system, machines, kMachineListInterval,
+        [this](std::set<std::string> leaving_ips) {
+          const std::lock_guard<std::mutex> lock(targets_mutex);
+          targets.SetDrainingMachines(std::move(leaving_ips));
+          fleet.SetSelfSuspect(targets.IsSelfSuspect());
+        });
+    if (probe_interval <= std::chrono::milliseconds::zero()) {
       return;
     }
     prober = std::make_unique<target_prober>(
-        system, probe_client, prober_options{interval, 4},
-        [this] { return ListTargets(*configuration.Current()); },
+        system, probe_client, prober_options{probe_interval, kProbeWorkers},
+        [this] {
+          return ListAssignedTargets(*fleet.snapshots().Current(),
+                                     fleet.directory());
+        },
         [this](const probed_target& target, const probe_outcome& outcome) {
           targets.ReportProbe(target.service, target.name,
                               {outcome.is_healthy, outcome.is_draining});
         });
   }
 
+  // Hands the keys of this process to one other host. Blocks until that host
+  // has taken them or the hand-over has failed.
+  void HandOverKeys() {
+    const std::vector<std::string> encoded =
+        EncodeHandover(keys.SealAndExport(), kMaxHandoverPartBytes);
+    const std::shared_ptr<std::promise<status>> done =
+        std::make_shared<std::promise<status>>();
+    std::future<status> outcome = done->get_future();
+    fleet.HandOverKeys(
+        encoded, [done](const status& result) { done->set_value(result); });
+    if (outcome.wait_for(kHandoverLimit) != std::future_status::ready) {
+      LogEvent(log_level::kWarning, "key_handover_unanswered");
+      return;
+    }
+    const status result = outcome.get();
+    LogEvent(IsOk(result) ? log_level::kInfo : log_level::kWarning,
+             "key_handover",
+             {{"result", IsOk(result) ? "ok" : ErrorOf(result).message},
+              {"parts", encoded.size()}});
+  }
+
   daemon_config config;
   caf::actor_system system;
   runtime_clock time_source;
   metric_registry metrics;
   audit_log audit;
   http_object_store store;
+  http_machine_list machines;
   std::string incarnation;
-  single_host_directory directory;
+  // Guards the calls of service_dispatcher that must come one at a time.
+  std::mutex targets_mutex;
   service_dispatcher targets;
-  catalog_watcher configuration;
   key_owner keys;
+  fleet_agent fleet;
   object_store_key_claims claims;
   proxy_service proxy;
   http_probe_client probe_client;
+  std::unique_ptr<draining_machine_poller> machine_poller;
   std::unique_ptr<target_prober> prober;
   admin_server admin;
   std::atomic<bool> is_leaving = false;
 
  private:
-  void OnSnapshot(std::shared_ptr<const catalog_snapshot> snapshot) {
-    targets.Apply(snapshot);
-    audit_record record;
-    record.unix_time_ms = CurrentUnixTimeMs();
-    record.actor = directory.Self().id;
-    record.action = "note_applied";
-    record.subject = snapshot->note_id;
-    record.catalog_version = snapshot->version;
-    audit.Append(std::move(record));
-    LogEvent(log_level::kInfo, "catalog_applied",
-             {{"version", snapshot->version}, {"note", snapshot->note_id}});
+  fleet_options MakeFleetOptions(const daemon_settings& settings) {
+    fleet_options options;
+    options.id = settings.id;
+    options.zone = settings.zone;
+    options.caller_address = settings.caller_address;
+    options.peer_address = settings.peer_address;
+    options.incarnation = incarnation;
+    options.seeds = settings.seeds;
+    options.keys = {settings.peer_key, settings.previous_peer_key};
+    options.discovery.ttl = settings.discovery_ttl;
+    options.on_snapshot =
+        [this](std::shared_ptr<const catalog_snapshot> snapshot) {
+          const std::lock_guard<std::mutex> lock(targets_mutex);
+          targets.Apply(std::move(snapshot));
+        };
+    options.import_keys = [this](const std::vector<std::string>& encoded) {
+      return ImportKeys(encoded);
+    };
+    return options;
+  }
+
+  status ImportKeys(const std::vector<std::string>& encoded) {
+    result<handover> decoded = DecodeHandover(encoded);
+    if (!IsOk(decoded)) {
+      return ErrorOf(decoded);
+    }
+    return keys.Import(TakeValue(std::move(decoded)));
   }
 
   std::vector<std::string> UnreadyReasons() {
     std::vector<std::string> reasons;
-    if (configuration.Current()->version == 0) {
-      reasons.emplace_back("no configuration");
+    if (fleet.snapshots().Current()->version == 0) {
+      reasons.emplace_back(
+          "no configuration: neither the store nor a peer gave one");
     }
     if (is_leaving) {
       reasons.emplace_back("leaving");
@@ -171,7 +249,7 @@
   }
 
   nlohmann::json DescribeStatus() {
-    return StatusReport(directory, configuration.Current()->version,
+    return StatusReport(fleet.directory(), fleet.snapshots().Current()->version,
                         targets.Status());
   }
 
@@ -191,22 +269,27 @@
   if (!IsOk(admin_started)) {
     return admin_started;
   }
-  parts_->configuration.Start();
-  parts_->StartProbes(settings_.probe_interval);
+  const status fleet_started = parts_->fleet.Start();
+  if (!IsOk(fleet_started)) {
+    return ErrorOf(fleet_started);
+  }
+  parts_->StartPolling(settings_.probe_interval);
   return parts_->proxy.Start();
 }
 
 void host_daemon::BeginLeaving() {
   parts_->is_leaving = true;
-  parts_->directory.BeginLeaving();
+  parts_->fleet.BeginLeaving();
   parts_->proxy.BeginShutdown();
 }
 
 shutdown_report host_daemon::Stop() {
   shutdown_report report =
       parts_->proxy.WaitUntilIdle(settings_.shutdown_limit);
+  parts_->HandOverKeys();
   parts_->prober.reset();
-  parts_->configuration.Stop();
+  parts_->machine_poller.reset();
+  parts_->fleet.Stop();
   parts_->admin.Stop();
   return report;
 }
