--- a/libraries/caller/caller.cc
+++ b/libraries/caller/caller.cc
@@ -147,12 +147,13 @@
   if (is_recent && IsKeyPrefix(host.key_prefix)) {
     return host.key_prefix;
   }
-  host_request request;
+  transport_request request;
   request.path = "/_bulrush/key";
   const transport_result exchanged = transport_.Exchange(
       host.address, request,
       std::min<duration>(kKeyPrefixTimeout, state.deadline - clock_.Now()));
-  const host_response* const response = std::get_if<host_response>(&exchanged);
+  const transport_response* const response =
+      std::get_if<transport_response>(&exchanged);
   if (response == nullptr || response->status != kOk) {
     return std::nullopt;
   }
@@ -182,7 +183,8 @@
   transport_result exchanged =
       transport_.Exchange(host.address, BuildRequest(state, attempt),
                           state.deadline - clock_.Now());
-  if (host_response* const response = std::get_if<host_response>(&exchanged)) {
+  if (transport_response* const response =
+          std::get_if<transport_response>(&exchanged)) {
     attempt.outcome = ClassifyResponse(*response);
     attempt.status = response->status;
     attempt.reason = std::string(
@@ -275,9 +277,9 @@
   return true;
 }
 
-host_request caller::BuildRequest(const call_state& state,
-                                  const call_attempt& attempt) const {
-  host_request request = state.request.http;
+transport_request caller::BuildRequest(const call_state& state,
+                                       const call_attempt& attempt) const {
+  transport_request request = state.request.http;
   const std::int64_t left_ms = std::max<std::int64_t>(
       ToMilliseconds(state.deadline - clock_.Now()).count(), 1);
   request.headers.emplace_back("X-Request-Id", attempt.request_id);
--- a/tests/caller/http_transport_test.cc
+++ b/tests/caller/http_transport_test.cc
@@ -33,7 +33,7 @@
   transport_result Send(const std::string& method,
                         const std::string& path,
                         duration timeout = std::chrono::seconds(60)) {
-    host_request request;
+    transport_request request;
     request.method = method;
     request.path = path;
     request.headers = {{"X-Work-Ms", "0"}, {"X-Request-Id", "r"}};
@@ -51,7 +51,7 @@
 
 // Guards against an incomplete response that is passed on as complete.
 TEST_F(HttpTransportTest, ReportsACutResponseAsALostConnection) {
-  ASSERT_TRUE(std::holds_alternative<host_response>(Send("GET", "/a")));
+  ASSERT_TRUE(std::holds_alternative<transport_response>(Send("GET", "/a")));
   Send("POST", "/_admin/mode?mode=truncating&truncate_share=1");
   const transport_result cut = Send("GET", "/a");
   ASSERT_TRUE(std::holds_alternative<transport_failure>(cut));
@@ -62,13 +62,13 @@
 // Guards against a silent connection that holds its caller for ever, and that
 // later requests are given again.
 TEST_F(HttpTransportTest, GivesUpASilentConnectionAndOpensANewOne) {
-  ASSERT_TRUE(std::holds_alternative<host_response>(Send("GET", "/a")));
+  ASSERT_TRUE(std::holds_alternative<transport_response>(Send("GET", "/a")));
   Send("POST", "/_admin/mode?mode=freezing");
   const transport_result silent =
       Send("GET", "/a", std::chrono::milliseconds(100));
   ASSERT_TRUE(std::holds_alternative<transport_failure>(silent));
   EXPECT_EQ(std::get<transport_failure>(silent), transport_failure::kTimedOut);
-  EXPECT_TRUE(std::holds_alternative<host_response>(Send("GET", "/a")));
+  EXPECT_TRUE(std::holds_alternative<transport_response>(Send("GET", "/a")));
 }
 
 // Guards against a refused connection that counts as "may have run", which
@@ -76,7 +76,7 @@
 TEST_F(HttpTransportTest, TellsAFailedConnectFromALostConnection) {
   // Nothing listens on port 1 of the loopback address.
   const transport_result refused = transport_.Exchange(
-      endpoint{"127.0.0.1", 1}, host_request{}, std::chrono::seconds(60));
+      endpoint{"127.0.0.1", 1}, transport_request{}, std::chrono::seconds(60));
   ASSERT_TRUE(std::holds_alternative<transport_failure>(refused));
   EXPECT_EQ(std::get<transport_failure>(refused),
             transport_failure::kConnectFailed);
--- a/tests/proxy/request_head_test.cc
+++ b/tests/proxy/request_head_test.cc
@@ -80,7 +80,7 @@
 
 // Guards against hop-by-hop headers that reach the other side.
 TEST(HopByHopHeadersTest, RemovesAlsoWhatConnectionNames) {
-  header_list headers;
+  http_headers headers;
   for (const std::string_view name :
        {"Keep-Alive", "TE", "Upgrade", "Transfer-Encoding", "Content-Length",
         "X-Named", "X-Kept"}) {
