--- a/libraries/caller/caller.cc
+++ b/libraries/caller/caller.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::chrono::seconds kKeyPrefixTimeout(1);
+// Hosts are given a shorter deadline than the transport, so that a host that
+// works answers at the deadline and only a silent one lets the transport's
+// time run out.
+constexpr std::chrono::milliseconds kReplyMargin(50);
 constexpr int kOk = 200;
 
 // Reasons that every later attempt with the same key would be given as well
@@ -205,6 +209,9 @@
     NoteConnectFailure(state, host);
     return;
   }
+  if (attempt.failure == transport_failure::kTimedOut) {
+    Avoid(host);
+  }
   NoteEnd(state, attempt);
 }
 
@@ -214,6 +221,10 @@
   ++state.next_host;
   state.outcome.reason =
       TransportFailureName(transport_failure::kConnectFailed);
+  Avoid(host);
+}
+
+void caller::Avoid(const discovered_host& host) {
   const std::lock_guard<std::mutex> lock(mutex_);
   avoided_until_[FormatEndpoint(host.address)] =
       clock_.Now() + options_.avoid_time;
@@ -280,8 +291,11 @@
 transport_request caller::BuildRequest(const call_state& state,
                                        const call_attempt& attempt) const {
   transport_request request = state.request.http;
-  const std::int64_t left_ms = std::max<std::int64_t>(
-      ToMilliseconds(state.deadline - clock_.Now()).count(), 1);
+  const std::chrono::milliseconds left =
+      ToMilliseconds(state.deadline - clock_.Now());
+  const std::chrono::milliseconds told =
+      left - std::min(kReplyMargin, left / 5);
+  const std::int64_t left_ms = std::max<std::int64_t>(told.count(), 1);
   request.headers.emplace_back("X-Request-Id", attempt.request_id);
   request.headers.emplace_back("X-Request-Deadline-Ms",
                                std::to_string(left_ms));
--- a/libraries/caller/caller.h
+++ b/libraries/caller/caller.h
@@ -89,7 +89,8 @@
   std::uint32_t spread = 1;
   duration min_backoff = std::chrono::milliseconds(20);
   duration max_backoff = std::chrono::milliseconds(1000);
-  // A host that refused a connection is tried last for this time.
+  // A host that refused a connection or fell silent is tried last for this
+  // time.
   duration avoid_time = std::chrono::seconds(5);
   // Older key prefixes are asked for again, since hosts forget generations.
   duration max_key_prefix_age = std::chrono::minutes(5);
@@ -126,6 +127,7 @@
   bool WaitBeforeRetry(call_state& state);
   transport_request BuildRequest(const call_state& state,
                                  const call_attempt& attempt) const;
+  void Avoid(const discovered_host& host);
   bool IsAvoided(const endpoint& address);
   std::uint64_t DrawUniform(std::uint64_t bound);
 
--- a/tests/caller/caller_test.cc
+++ b/tests/caller/caller_test.cc
@@ -61,6 +61,17 @@
   EXPECT_EQ(transport_.sent().size(), 3U) << "h1 was not avoided";
 }
 
+// Guards against every call waiting for a host that is paused: a host that
+// works answers before the transport gives up.
+TEST_F(CallerTest, AvoidsAHostThatFellSilent) {
+  transport_.Script(kFirstPort, transport_failure::kTimedOut);
+  transport_.Script(kSecondPort, Response(200, ""));
+  Call(repeat_policy::kOnce);
+  EXPECT_EQ(transport_.SentHeader(0, "X-Request-Deadline-Ms"), "4950");
+  Call(repeat_policy::kOnce);
+  EXPECT_EQ(transport_.sent().at(1).address, Address(kSecondPort));
+}
+
 // Guards against a key that only a host without the request could answer for.
 TEST_F(CallerTest, BindsTheKeyToAnotherHostWhenTheFirstGotNoByte) {
   transport_.Script(kSecondPort, Response(200, ""));
