--- a/libraries/caller/caller.h
+++ b/libraries/caller/caller.h
@@ -31,7 +31,7 @@
 
 struct call_request {
   std::string service;
-  host_request http;
+  transport_request http;
   repeat_policy repeat = repeat_policy::kIdempotent;
   std::string organisation;
   // Attempt N sends "<request_id>.<N>" in X-Request-Id. Must be unique.
@@ -59,7 +59,7 @@
 struct call_result {
   call_outcome outcome = call_outcome::kNotRun;
   // The last response, if there was one.
-  std::optional<host_response> response;
+  std::optional<transport_response> response;
   // The key to send the same work again with; empty if none was made.
   std::string key;
   // The host that gave the last response.
@@ -89,7 +89,8 @@
   std::uint32_t spread = 1;
   duration min_backoff = std::chrono::milliseconds(20);
   duration max_backoff = std::chrono::milliseconds(1000);
-  // A host that refused a connection is tried last for this time.
+  // A host that refused a connection or fell silent is tried last for this
+  // time.
   duration avoid_time = std::chrono::seconds(5);
   // Older key prefixes are asked for again, since hosts forget generations.
   duration max_key_prefix_age = std::chrono::minutes(5);
@@ -124,8 +125,9 @@
   void NoteConnectFailure(call_state& state, const discovered_host& host);
   void NoteEnd(call_state& state, const call_attempt& attempt);
   bool WaitBeforeRetry(call_state& state);
-  host_request BuildRequest(const call_state& state,
-                            const call_attempt& attempt) const;
+  transport_request BuildRequest(const call_state& state,
+                                 const call_attempt& attempt) const;
+  void Avoid(const discovered_host& host);
   bool IsAvoided(const endpoint& address);
   std::uint64_t DrawUniform(std::uint64_t bound);
 
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -338,7 +338,7 @@
   return is_stopping_;
 }
 
-std::string caller_server::RequestIdOf(const header_list& headers) {
+std::string caller_server::RequestIdOf(const http_headers& headers) {
   const std::optional<std::string> given = headers.Find(kRequestIdHeader);
   if (given.has_value() && IsRequestId(*given)) {
     return *given;
--- a/libraries/proxy/caller_server.h
+++ b/libraries/proxy/caller_server.h
@@ -121,7 +121,7 @@
   void CloseAllIdle();
   std::vector<std::string> CutOffAll();
   bool IsStopping() const;
-  std::string RequestIdOf(const header_list& headers);
+  std::string RequestIdOf(const http_headers& headers);
 
   const caller_server_options options_;
   const clock& clock_;
--- a/libraries/proxy/http_message.cc
+++ b/libraries/proxy/http_message.cc
@@ -44,22 +44,22 @@
 
 }  // namespace
 
-void header_list::Add(std::string_view name, std::string_view value) {
+void http_headers::Add(std::string_view name, std::string_view value) {
   fields_.push_back({std::string(name), std::string(value)});
 }
 
-void header_list::Set(std::string_view name, std::string_view value) {
+void http_headers::Set(std::string_view name, std::string_view value) {
   Remove(name);
   Add(name, value);
 }
 
-void header_list::Remove(std::string_view name) {
+void http_headers::Remove(std::string_view name) {
   std::erase_if(fields_, [name](const http_header& field) {
     return EqualsIgnoringCase(field.name, name);
   });
 }
 
-std::optional<std::string> header_list::Find(std::string_view name) const {
+std::optional<std::string> http_headers::Find(std::string_view name) const {
   const auto found = std::find_if(fields_.begin(), fields_.end(),
                                   [name](const http_header& field) {
                                     return EqualsIgnoringCase(field.name, name);
@@ -68,7 +68,7 @@
                                 : std::optional<std::string>(found->value);
 }
 
-std::size_t header_list::Count(std::string_view name) const {
+std::size_t http_headers::Count(std::string_view name) const {
   return static_cast<std::size_t>(std::count_if(
       fields_.begin(), fields_.end(), [name](const http_header& field) {
         return EqualsIgnoringCase(field.name, name);
@@ -98,7 +98,7 @@
                      });
 }
 
-void RemoveHopByHopHeaders(header_list& headers) {
+void RemoveHopByHopHeaders(http_headers& headers) {
   std::vector<std::string> named;
   for (const http_header& field : headers.fields()) {
     if (EqualsIgnoringCase(field.name, "Connection")) {
--- a/libraries/proxy/http_message.h
+++ b/libraries/proxy/http_message.h
@@ -19,7 +19,7 @@
 
 // Header fields in the order in which they were received; names compare
 // without regard to case. Not thread safe.
-class header_list {
+class http_headers {
  public:
   void Add(std::string_view name, std::string_view value);
 
@@ -44,7 +44,7 @@
   std::string method;
   // Origin form, as in the request line.
   std::string target;
-  header_list headers;
+  http_headers headers;
   std::string body;
 };
 
@@ -52,7 +52,7 @@
 // response to HEAD may carry the Content-Length of the target.
 struct http_response {
   int status = 0;
-  header_list headers;
+  http_headers headers;
   std::string body;
 };
 
@@ -69,7 +69,7 @@
 // Removes the fields that belong to one connection (RFC 9110, section 7.6.1),
 // those named by Connection included, and the framing fields Content-Length
 // and Transfer-Encoding. Thread safe.
-void RemoveHopByHopHeaders(header_list& headers);
+void RemoveHopByHopHeaders(http_headers& headers);
 
 // Parses a decimal number without sign; nothing if it is faulty or does not
 // fit into 64 bits. Thread safe.
--- a/libraries/proxy/request_pipeline.cc
+++ b/libraries/proxy/request_pipeline.cc
@@ -150,7 +150,7 @@
 
 request_pipeline::step_failure request_pipeline::CheckHeaders(
     request_context& context) {
-  const header_list& headers = context.received.headers;
+  const http_headers& headers = context.received.headers;
   for (const std::string_view name : kSingleHeaders) {
     if (headers.Count(name) > 1) {
       return failure_point::kMalformedHeaderValue;
--- a/tests/caller_tool/load_run_test.cc
+++ b/tests/caller_tool/load_run_test.cc
@@ -15,13 +15,13 @@
       : clock_(time), delays_(std::move(delays)) {}
 
   transport_result Exchange(const endpoint& /*address*/,
-                            const host_request& /*request*/,
+                            const transport_request& /*request*/,
                             duration /*timeout*/) override {
     if (!delays_.empty()) {
       clock_.Advance(delays_.front());
       delays_.pop_front();
     }
-    return host_response{200, {}, ""};
+    return transport_response{200, {}, ""};
   }
 
  private:
