--- a/benchmarks/policy_bench/event_queue.cc
+++ b/benchmarks/policy_bench/event_queue.cc
@@ -6,7 +6,9 @@
 namespace bulrushshore {
 
 void event_queue::At(time_point time, callback action) {
-  events_.push({std::max(time, now_), next_sequence_++, std::move(action)});
+  events_.push_back(
+      {std::max(time, now_), next_sequence_++, std::move(action)});
+  std::push_heap(events_.begin(), events_.end(), later());
 }
 
 void event_queue::After(duration delay, callback action) {
@@ -14,10 +16,11 @@
 }
 
 void event_queue::RunUntil(duration end) {
-  while (!events_.empty() && events_.top().time <= kStart + end) {
-    // The event is popped before it runs, because it may add further events.
-    const event next = events_.top();
-    events_.pop();
+  while (!events_.empty() && events_.front().time <= kStart + end) {
+    std::pop_heap(events_.begin(), events_.end(), later());
+    // The event is taken out before it runs, because it may add further events.
+    const event next = std::move(events_.back());
+    events_.pop_back();
     now_ = next.time;
     next.action();
   }
--- a/benchmarks/policy_bench/event_queue.h
+++ b/benchmarks/policy_bench/event_queue.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <queue>
 #include <vector>
 
 #include "libraries/base/clock.h"
@@ -44,7 +43,8 @@
 
   time_point now_ = kStart;
   std::uint64_t next_sequence_ = 0;
-  std::priority_queue<event, std::vector<event>, later> events_;
+  // A heap with the earliest event first.
+  std::vector<event> events_;
 };
 
 }  // namespace bulrushshore
--- a/benchmarks/policy_bench/fake_target.cc
+++ b/benchmarks/policy_bench/fake_target.cc
@@ -138,7 +138,8 @@
 std::uint32_t fake_target::ReportedLoad() {
   if (is_affected_ && script_.fault == fault_type::kMisleadingLoad &&
       script_.IsFaultActive(events_.Elapsed())) {
-    return static_cast<std::uint32_t>(random_.Uniform(3 * slots_));
+    return static_cast<std::uint32_t>(
+        random_.Uniform(std::uint64_t{3} * slots_));
   }
   return running_;
 }
--- a/libraries/admission/crash_guard.h
+++ b/libraries/admission/crash_guard.h
@@ -18,7 +18,7 @@
   std::size_t targets_lost = 2;
   duration hold_time = std::chrono::minutes(10);
   // Fingerprints kept; beyond it the one with the oldest loss is forgotten.
-  std::size_t capacity = 1000;
+  std::size_t capacity = 200;
 };
 
 // A request that is held back.
--- a/libraries/dispatch/service_actor.h
+++ b/libraries/dispatch/service_actor.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstdint>
 #include <future>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -47,9 +48,12 @@
 // What the actor of a service publishes for other threads.
 struct service_signals {
   std::atomic<bool> is_self_suspect{false};
+  static constexpr std::int64_t kNeverGranted =
+      std::numeric_limits<std::int64_t>::min();
+
   // Time of the newest grant by the actor system's clock, in ticks of
   // `duration`.
-  std::atomic<std::int64_t> last_grant_ticks{0};
+  std::atomic<std::int64_t> last_grant_ticks{kNeverGranted};
 };
 
 // Messages of the service actor.
--- a/libraries/dispatch/service_controller.cc
+++ b/libraries/dispatch/service_controller.cc
@@ -383,11 +383,26 @@
 
 void service_controller::StartWaiting(time_point now,
                                       decision_list& decisions) {
-  while (queue_.size() > 0) {
+  // If a request without restrictions cannot start, no other one of its class
+  // can; what holds for short work also holds for long work. This keeps the
+  // cost of a full queue low.
+  bool is_short_blocked = false;
+  bool is_long_blocked = false;
+  while (queue_.size() > 0 && !is_short_blocked) {
     std::optional<grant> started;
     const std::optional<queued_request> taken =
-        queue_.TakeFirst([this, now, &started](const queued_request& queued) {
-          started = TryStart(waiting_.at(queued.id), now);
+        queue_.TakeFirst([&](const queued_request& queued) {
+          const acquire_request& request = waiting_.at(queued.id);
+          const bool is_long = classifier_.IsLong(request.kind);
+          if (is_short_blocked || (is_long && is_long_blocked)) {
+            return false;
+          }
+          started = TryStart(request, now);
+          const bool is_unrestricted =
+              request.attempt == 0 && request.excluded_targets.empty();
+          if (!started && is_unrestricted) {
+            (is_long ? is_long_blocked : is_short_blocked) = true;
+          }
           return started.has_value();
         });
     if (!taken) {
--- a/libraries/dispatch/service_dispatcher.cc
+++ b/libraries/dispatch/service_dispatcher.cc
@@ -157,8 +157,9 @@
   std::size_t suspect = 0;
   for (const entry_map::value_type& entry : *Entries()) {
     const service_signals& signals = *entry.second.signals;
-    const time_point last_grant{duration(signals.last_grant_ticks.load())};
-    if (now - last_grant > kRecentTraffic) {
+    const std::int64_t ticks = signals.last_grant_ticks;
+    if (ticks == service_signals::kNeverGranted ||
+        now - time_point(duration(ticks)) > kRecentTraffic) {
       continue;
     }
     ++with_traffic;
--- a/libraries/dispatch/target_table.cc
+++ b/libraries/dispatch/target_table.cc
@@ -96,7 +96,7 @@
                              draining_ips_.contains(registered.address.ip);
     monitored.push_back({registered.name,
                          std::max<std::uint32_t>(1, registered.slots),
-                         is_draining});
+                         is_draining, entry.second.generation});
   }
   return monitored;
 }
--- a/libraries/health/outlier_detector.cc
+++ b/libraries/health/outlier_detector.cc
@@ -47,10 +47,12 @@
   record_map previous = std::exchange(records_, {});
   for (const monitored_target& registered : targets) {
     const auto position = previous.find(registered.name);
-    const bool is_new = position == previous.end();
+    const bool is_new = position == previous.end() ||
+                        position->second.generation != registered.generation;
     record value = is_new ? record(kMaximumScoreRatio * options_.ejection_score)
                           : position->second;
     value.slots = registered.slots;
+    value.generation = registered.generation;
     if (!is_new) {
       previous.erase(position);
     }
--- a/libraries/health/outlier_detector.h
+++ b/libraries/health/outlier_detector.h
@@ -21,6 +21,8 @@
   std::string name;
   std::uint32_t slots = 1;
   bool is_draining = false;
+  // A changed number means another process under the same name.
+  std::uint64_t generation = 0;
 };
 
 // Health of one target at one moment.
@@ -82,6 +84,7 @@
     explicit record(double maximum_score);
 
     std::uint32_t slots = 1;
+    std::uint64_t generation = 0;
     health_state state = health_state::kHealthy;
     health_reason reason = health_reason::kNone;
     time_point since;
--- a/tests/dispatch/service_controller_test.cc
+++ b/tests/dispatch/service_controller_test.cc
@@ -178,6 +178,82 @@
   EXPECT_EQ(started, 2U);
 }
 
+// Guards against an organisation that takes all slots by sending the most.
+TEST_F(ServiceControllerTest, SharesSlotsBetweenOrganisations) {
+  catalog_snapshot catalog = MakeCatalog(1, 1);
+  catalog.contents.organisations["heavy"] = {"heavy", 2};
+  Start(catalog);
+  std::uint64_t running = MustStart(MakeRequest()).id;
+  std::set<std::uint64_t> heavy_ids;
+  for (int request = 0; request < 30; ++request) {
+    EXPECT_FALSE(Acquire(MakeRequest()).has_value());
+  }
+  for (int request = 0; request < 10; ++request) {
+    acquire_request other = MakeRequest();
+    other.organisation = "heavy";
+    EXPECT_FALSE(Acquire(other).has_value());
+    heavy_ids.insert(last_request);
+  }
+  int heavy_turns = 0;
+  for (int turn = 0; turn < 9; ++turn) {
+    const std::vector<acquire_decision> next = Release(running);
+    ASSERT_EQ(next.size(), 1U);
+    running = std::get<grant>(next.front().outcome).id;
+    heavy_turns += heavy_ids.contains(next.front().request_id) ? 1 : 0;
+  }
+  EXPECT_EQ(heavy_turns, 6);
+}
+
+// Guards against traffic that a shedding target attracts because it never has
+// requests in flight, and against waiting work that nothing starts later.
+TEST_F(ServiceControllerTest, PausesATargetThatShedsAndResumesByItself) {
+  Start(MakeCatalog(1, 1));
+  Release(MustStart(MakeRequest()).id, attempt_result::kShed);
+  EXPECT_FALSE(Acquire(MakeRequest()).has_value());
+  ASSERT_EQ(controller->NextWakeup(now), now + std::chrono::milliseconds(20));
+  now += std::chrono::milliseconds(20);
+  EXPECT_EQ(controller->Advance(now).size(), 1U);
+}
+
+// Guards against full traffic to a target that has just been added.
+TEST_F(ServiceControllerTest, ANewTargetStartsWithLittleTraffic) {
+  Start(MakeCatalog(5));
+  controller->Apply(Share(MakeCatalog(6)), now);
+  const target_status added = controller->Status(now).targets.back();
+  EXPECT_EQ(added.state, health_state::kSlowStart);
+  EXPECT_EQ(added.reason, health_reason::kNewTarget);
+  EXPECT_LT(added.weight, 0.2);
+}
+
+// Guards against blaming a new process for its predecessor of the same name.
+TEST_F(ServiceControllerTest, AChangedAddressMakesANewTarget) {
+  catalog_snapshot catalog = MakeCatalog(6);
+  Start(catalog);
+  for (int request = 0; request < 400; ++request) {
+    now += std::chrono::milliseconds(10);
+    const grant started = MustStart(MakeRequest());
+    Release(started.id, started.chosen.name == "t0"
+                            ? attempt_result::kServerError
+                            : attempt_result::kSuccess);
+  }
+  ASSERT_EQ(controller->Status(now).targets[0].state, health_state::kEjected);
+  catalog.contents.targets["archive/t0"].address.port = 9002;
+  controller->Apply(Share(catalog), now);
+  EXPECT_EQ(controller->Status(now).targets[0].state, health_state::kSlowStart);
+}
+
+// Guards against retry tokens that are lost with refused retries.
+TEST_F(ServiceControllerTest, ARefusedRetryCostsNoToken) {
+  Start(MakeCatalog(1, 1));
+  MustStart(MakeRequest());
+  acquire_request retry = MakeRequest();
+  retry.attempt = 1;
+  retry.excluded_targets = {"t0"};
+  for (int attempt = 0; attempt < 10; ++attempt) {
+    EXPECT_EQ(MustRefuse(retry), refusal_reason::kNoTarget);
+  }
+}
+
 // Guards against retries without a bound.
 TEST_F(ServiceControllerTest, ChargesRetriesToTheBudget) {
   Start(MakeCatalog(3));
--- a/tests/dispatch/service_dispatcher_test.cc
+++ b/tests/dispatch/service_dispatcher_test.cc
@@ -150,6 +150,72 @@
   EXPECT_TRUE(std::holds_alternative<grant>(second.get()));
 }
 
+// Guards against new work on a machine that is leaving.
+TEST_F(ServiceDispatcherTest, SendsNoWorkToLeavingMachines) {
+  dispatch->Apply(Share(MakeCatalog(2, 2)));
+  dispatch->SetDrainingMachines({"10.0.0.1"});
+  Settle();
+  for (int request = 0; request < 2; ++request) {
+    EXPECT_EQ(std::get<grant>(Begin(MakeRequest()).get()).chosen.name, "t1");
+  }
+  std::future<acquire_outcome> waiting = Begin(MakeRequest());
+  EXPECT_FALSE(IsReady(waiting));
+  dispatch->SetDrainingMachines({});
+  Settle();
+  EXPECT_TRUE(IsReady(waiting));
+  dispatch->ReportProbe("archive", "t1", {true, true});
+  Settle();
+  EXPECT_EQ(metrics
+                .GetGauge("bulrush_dispatch_slots_in_use", "",
+                          {{"service", "archive"}})
+                .value(),
+            2);
+}
+
+// Guards against a host that does not notice that it is the one at fault, and
+// against one that reports a fault of a service as its own.
+TEST_F(ServiceDispatcherTest, SuspectsItselfOnlyIfMostServicesFail) {
+  catalog_snapshot catalog = MakeCatalog(6);
+  catalog.contents.services["photo"] = catalog.contents.services["archive"];
+  catalog.contents.services["photo"].name = "photo";
+  target photo_target = catalog.contents.targets["archive/t0"];
+  photo_target.service = "photo";
+  catalog.contents.targets["photo/t0"] = photo_target;
+  dispatch->Apply(Share(catalog));
+  Settle();
+  const auto send = [this](const std::string& service, attempt_result outcome) {
+    AdvanceTime(std::chrono::milliseconds(50));
+    acquire_request request = MakeRequest();
+    request.service = service;
+    const grant started = std::get<grant>(Begin(request).get());
+    attempt_report report;
+    report.outcome = outcome;
+    dispatch->Release(service, started.id, report);
+    Settle();
+  };
+  for (int request = 0; request < 60; ++request) {
+    send("archive", attempt_result::kConnectFailed);
+  }
+  EXPECT_TRUE(dispatch->IsSelfSuspect());
+  EXPECT_EQ(audit.Records().front().action, "host_suspected");
+  send("photo", attempt_result::kSuccess);
+  EXPECT_FALSE(dispatch->IsSelfSuspect());
+}
+
+// Guards against a grant that nobody uses and that keeps its slot.
+TEST_F(ServiceDispatcherTest, AnAbandonedRequestKeepsNoSlot) {
+  acquire_request late = MakeRequest();
+  late.deadline = system.clock().now() + std::chrono::seconds(1);
+  // The waiting thread measures the deadline by the real clock, which is far
+  // beyond the paused one, and gives up at once.
+  const acquire_outcome outcome = dispatch->Acquire(late);
+  EXPECT_EQ(std::get<refusal>(outcome).reason, refusal_reason::kQueueTimeout);
+  Settle();
+  std::future<acquire_outcome> next = Begin(MakeRequest());
+  ASSERT_TRUE(IsReady(next));
+  EXPECT_TRUE(std::holds_alternative<grant>(next.get()));
+}
+
 // Guards against a request for a service that is not, or no longer, known.
 TEST_F(ServiceDispatcherTest, RefusesUnknownAndWithdrawnServices) {
   acquire_request request = MakeRequest();
@@ -208,6 +274,7 @@
     caller.join();
   }
   EXPECT_GT(granted, 0);
+  EXPECT_FALSE(dispatch.ReleaseFingerprint(42));
   EXPECT_LE(most_running, 4);
   const std::vector<service_status> statuses = dispatch.Status();
   ASSERT_EQ(statuses.size(), 1U);
