--- a/libraries/base/clock.h
+++ b/libraries/base/clock.h
@@ -4,8 +4,8 @@
 #include <chrono>
 
 #include <caf/actor_clock.hpp>
-// actor_clock.hpp only declares caf::error; with the definition at hand the
-// linter does not take bulrushshore::error for the one that is meant.
+// actor_clock.hpp only declares caf::error, which clang-tidy takes for a
+// mistaken declaration of bulrushshore::error unless the definition is seen.
 #include <caf/error.hpp>
 
 namespace bulrushshore {
