--- a/scripts/local_fleet.sh
+++ b/scripts/local_fleet.sh
@@ -66,18 +66,18 @@
   echo "$port"
 }
 
-# start_host ID CALLER_ADDRESS PEER_ADDRESS SEEDS STORE
+# start_host ID CALLER_ADDRESS PEER_ADDRESS SEEDS STORE [ZONE [ADMIN_ADDRESS]]
 start_host() {
   cat >"$work/$1.ini" <<END
 [host]
 id = $1
-zone = a
+zone = ${6:-a}
 caller_address = $2
 peer_address = $3
-admin_address = 127.0.0.1:$(free_port)
+admin_address = ${7:-127.0.0.1:$(free_port)}
 leaving_grace_ms = 2000
 discovery_ttl_ms = 1000
-log_level = warning
+log_level = info
 
 [store]
 address = $5
