--- a/tests/store/catalog_publisher_test.cc
+++ b/tests/store/catalog_publisher_test.cc
@@ -209,5 +209,28 @@
   EXPECT_FALSE(ValueOf(search).note.has_value());
 }
 
+// Guards against a change that rewrites more of a full-size catalog than it
+// touches: it writes one part, its note record and the head.
+TEST_F(CatalogPublisherTest, OneChangeOfAFullSizeCatalogWritesOnePart) {
+  const catalog_contents contents = FullSizeContents();
+  const result<encoded_parts> parts = EncodeParts(contents);
+  ASSERT_TRUE(IsOk(parts));
+  const part_digests digests = DigestParts(ValueOf(parts));
+  for (std::size_t index = 0; index < kPartCount; ++index) {
+    store_.Put(CatalogPartKey(digests[index]), ValueOf(parts)[index],
+               kNoVersion);
+  }
+  const std::string digest(64, 'a');
+  store_.Put(kCatalogHeadKey, EncodeHead({1, "first", digest, digests}),
+             kNoVersion);
+  const std::uint64_t before = store_.call_counts().put;
+  const std::string key = contents.targets.begin()->first;
+  const publish_outcome outcome = Publish(
+      NoteText("drain", 1, "[change target " + key + "]\nstate = draining\n"));
+  EXPECT_EQ(outcome.result, publish_result::kAccepted) << outcome.message;
+  EXPECT_EQ(store_.call_counts().put, before + 3);
+  EXPECT_EQ(Snapshot().contents.targets.at(key).state, target_state::kDraining);
+}
+
 }  // namespace
 }  // namespace bulrushshore
