--- a/libraries/health/outlier_detector.h
+++ b/libraries/health/outlier_detector.h
@@ -21,6 +21,8 @@
   std::string name;
   std::uint32_t slots = 1;
   bool is_draining = false;
+  // A changed number means another process under the same name.
+  std::uint64_t generation = 0;
 };
 
 // Health of one target at one moment.
@@ -82,13 +84,18 @@
     explicit record(double maximum_score);
 
     std::uint32_t slots = 1;
+    std::uint64_t generation = 0;
     health_state state = health_state::kHealthy;
     health_reason reason = health_reason::kNone;
     time_point since;
     sequential_test failures;
     sequential_test slowness;
-    decaying_count recent_total;
-    decaying_count recent_failures;
+    outcome_counts recent;
+    // Start of the present suspicion: the first event since a score was 0.
+    time_point suspected_since;
+    time_point last_good;
+    time_point last_bad;
+    time_point last_failure;
     std::uint32_t ejections = 0;
     time_point ejections_decayed_at;
     time_point ejected_until;
@@ -101,8 +108,8 @@
 
   static bool IsInUse(const record& value);
   bool IsCandidate(const record& value) const;
-  double RecentFailureShare(const record& value, time_point now) const;
-  double Severity(const record& value, time_point now) const;
+  bool IsWorseThanOthers(const record& candidate) const;
+  double Severity(const record& value) const;
   static void Enter(record& value,
                     health_state state,
                     health_reason reason,
@@ -133,6 +140,10 @@
   void KeepFloor(time_point now);
   void UpdateSelfSuspicion(time_point now);
   bool LooksUnhealthy(const record& value, time_point now) const;
+  void NoteOutcome(record& value,
+                   bool is_failure,
+                   bool is_slow,
+                   time_point now);
   void AdvanceRecord(std::string_view name, record& value, time_point now);
   kind_statistics& Kind(std::string_view kind);
 
@@ -144,6 +155,9 @@
   bool is_self_suspect_ = false;
   time_point suspect_since_;
   time_point suspicion_updated_;
+  // Failures of any targets since the newest success of any target.
+  std::uint32_t failures_in_a_row_ = 0;
+  time_point last_success_;
   std::vector<health_event> events_;
 };
 
--- a/tests/caller/caller_test.cc
+++ b/tests/caller/caller_test.cc
@@ -61,6 +61,17 @@
   EXPECT_EQ(transport_.sent().size(), 3U) << "h1 was not avoided";
 }
 
+// Guards against every call waiting for a host that is paused: a host that
+// works answers before the transport gives up.
+TEST_F(CallerTest, AvoidsAHostThatFellSilent) {
+  transport_.Script(kFirstPort, transport_failure::kTimedOut);
+  transport_.Script(kSecondPort, Response(200, ""));
+  Call(repeat_policy::kOnce);
+  EXPECT_EQ(transport_.SentHeader(0, "X-Request-Deadline-Ms"), "4950");
+  Call(repeat_policy::kOnce);
+  EXPECT_EQ(transport_.sent().at(1).address, Address(kSecondPort));
+}
+
 // Guards against a key that only a host without the request could answer for.
 TEST_F(CallerTest, BindsTheKeyToAnotherHostWhenTheFirstGotNoByte) {
   transport_.Script(kSecondPort, Response(200, ""));
@@ -115,6 +126,15 @@
   }
 }
 
+// Guards against retries that cannot change the outcome.
+TEST_F(CallerTest, StopsWhenTheOwnerForgotTheKey) {
+  transport_response expired = Response(502, "unknown");
+  expired.headers.emplace_back("X-Outcome-Reason", "key-expired");
+  transport_.Script(kFirstPort, expired);
+  EXPECT_EQ(Call(repeat_policy::kKeyed).outcome, call_outcome::kUnknown);
+  EXPECT_EQ(transport_.sent().size(), 1U);
+}
+
 // Guards against a retry after the caller's own deadline.
 TEST_F(CallerTest, DoesNotWaitPastTheDeadlineForRetryAfter) {
   transport_response busy = Response(503, "not-run");
