--- a/libraries/configuration/blocking_executor.cc
+++ b/libraries/configuration/blocking_executor.cc
@@ -7,13 +7,19 @@
 thread_executor::thread_executor() : thread_([this] { Run(); }) {}
 
 thread_executor::~thread_executor() {
+  Stop();
+}
+
+void thread_executor::Stop() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     is_stopping_ = true;
     tasks_.clear();
   }
   changed_.notify_all();
-  thread_.join();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
 }
 
 void thread_executor::Submit(std::function<void()> task) {
--- a/libraries/configuration/blocking_executor.h
+++ b/libraries/configuration/blocking_executor.h
@@ -18,19 +18,24 @@
   // Runs `task` later, after those submitted before. Tasks that have not
   // started when the executor stops are dropped.
   virtual void Submit(std::function<void()> task) = 0;
+
+  // Waits for the task that runs and drops the others. Precondition: not
+  // called from a task.
+  virtual void Stop() = 0;
 };
 
 // Runs tasks one after the other on a thread of its own.
 class thread_executor : public blocking_executor {
  public:
   thread_executor();
-  // Waits for the task that runs.
+  // Stops.
   ~thread_executor() override;
 
   thread_executor(const thread_executor&) = delete;
   thread_executor& operator=(const thread_executor&) = delete;
 
   void Submit(std::function<void()> task) override;
+  void Stop() override;
 
  private:
   void Run();
--- a/libraries/configuration/configuration_agent.h
+++ b/libraries/configuration/configuration_agent.h
@@ -80,6 +80,9 @@
   // Ends the search. The last snapshot stays readable.
   void Stop();
 
+  // Returns the actor, for owners that wait for its end.
+  const caf::actor& actor() const { return actor_; }
+
   // Notes the version that the host at `peer` has in force.
   void OnPeerVersion(const endpoint& peer, std::uint64_t version);
 
--- a/libraries/fleet/fleet_agent.cc
+++ b/libraries/fleet/fleet_agent.cc
@@ -3,6 +3,8 @@
 #include <optional>
 #include <utility>
 
+#include <caf/scoped_actor.hpp>
+
 #include "libraries/base/random_source.h"
 #include "libraries/fleet/host_objects.h"
 #include "libraries/membership/host_assignment.h"
@@ -59,7 +61,8 @@
   core(const dependencies& dependencies,
        fleet_options given_options,
        replacements replacements)
-      : options(std::move(given_options)),
+      : system(dependencies.system),
+        options(std::move(given_options)),
         stack(std::make_shared<peer_stack>(dependencies,
                                            options,
                                            std::move(replacements.transport))),
@@ -74,6 +77,7 @@
   void ImportTable(const peer_request& request,
                    const handover_contents& contents);
 
+  caf::actor_system& system;
   const fleet_options options;
   const std::shared_ptr<peer_stack> stack;
   const std::shared_ptr<peer_messenger> messenger;
@@ -192,7 +196,7 @@
 }
 
 status fleet_agent::Start() {
-  const status started = core_->messenger->Start();
+  status started = core_->messenger->Start();
   if (!IsOk(started)) {
     return started;
   }
@@ -213,6 +217,12 @@
   core_->messenger->Stop();
   core_->membership->Stop();
   core_->configuration->Stop();
+  core_->store_executor->Stop();
+  core_->import_executor->Stop();
+  if (core_->options.waits_for_actors) {
+    const caf::scoped_actor waiter(core_->system);
+    waiter->wait_for(core_->membership->actor(), core_->configuration->actor());
+  }
 }
 
 const host_directory& fleet_agent::directory() const {
--- a/libraries/fleet/fleet_agent.h
+++ b/libraries/fleet/fleet_agent.h
@@ -44,6 +44,9 @@
   // answers for its keys once it returns without an error. Called on a thread
   // that may block. If it is empty, hand-overs are refused.
   std::function<status(const std::vector<std::string>& parts)> import_keys;
+  // Whether Stop() waits until the actors have ended. Only tests whose own
+  // thread runs the actors turn it off.
+  bool waits_for_actors = true;
 };
 
 // Everything that this host shares with the others: membership, configuration,
@@ -64,8 +67,9 @@
     std::shared_ptr<blocking_executor> import_executor;
   };
 
-  // Preconditions: the store, the registry and the audit log outlive the actor
-  // system; `options.id` and `options.zone` are valid.
+  // Preconditions: the referenced objects outlive this one, and the actors as
+  // well if Stop() does not wait for them; `options.id` and `options.zone` are
+  // valid.
   fleet_agent(const dependencies& dependencies, fleet_options options);
   fleet_agent(const dependencies& dependencies,
               fleet_options options,
@@ -81,7 +85,8 @@
   status Start();
 
   // Leaves the network. What was published stays readable. Blocks until a
-  // waiting watch of the store has ended.
+  // waiting watch of the store has ended. Precondition: not called from an
+  // actor or a callback of this object.
   void Stop();
 
   const host_directory& directory() const;
--- a/libraries/membership/membership_actor.cc
+++ b/libraries/membership/membership_actor.cc
@@ -51,11 +51,9 @@
       [this](const membership_round_due&) { RunRound(); },
       [this](const membership_request& message) {
         HandleRequest(message.request);
-        Publish(false);
       },
       [this](const membership_call_finished& message) {
         HandleCallFinished(message);
-        Publish(false);
       },
       [this](const membership_probe_finished& message) {
         const suspect_check_message* check =
@@ -66,19 +64,19 @@
       },
       [this](const membership_leave&) {
         rounds_.view().SetLeaving();
-        Publish(true);
+        Publish();
       },
       [this](const membership_self_suspect& message) {
         rounds_.view().SetSelfSuspect(message.is_self_suspect);
-        Publish(true);
+        Publish();
       },
       [this](const membership_catalog_version& message) {
         rounds_.view().RaiseSelfCounters(0, message.version);
-        Publish(true);
+        Publish();
       },
       [this](const membership_inherit& message) {
         rounds_.view().Inherit(message.incarnations);
-        Publish(true);
+        Publish();
         message.done();
       },
       [this](const membership_seed& message) {
@@ -104,7 +102,7 @@
   rounds_.view().RaiseSelfCounters(
       static_cast<std::uint64_t>(age / kKeyGenerationLength), 0);
   SendCalls(rounds_.StartRound(now));
-  Publish(true);
+  Publish();
 }
 
 void membership_actor::HandleRequest(const peer_request& request) {
@@ -175,11 +173,10 @@
   }
 }
 
-void membership_actor::Publish(bool includes_counters) {
+void membership_actor::Publish() {
   const membership_view& view = rounds_.view();
-  const bool has_new_records = view.record_changes() != published_records_;
-  const bool has_new_counters = view.counter_changes() != published_counters_;
-  if (!has_new_records && !(includes_counters && has_new_counters)) {
+  if (view.record_changes() == published_records_ &&
+      view.counter_changes() == published_counters_) {
     return;
   }
   published_records_ = view.record_changes();
@@ -187,7 +184,8 @@
   const std::shared_ptr<const membership_snapshot> before =
       arguments_.output->Get();
   const std::shared_ptr<const membership_snapshot> after =
-      std::make_shared<const membership_snapshot>(MakeMembershipSnapshot(view));
+      std::make_shared<const membership_snapshot>(
+          membership_snapshot{view.self(), view.Records()});
   arguments_.output->Set(after);
   RecordStateChanges(*before, *after);
   if (before->self != after->self &&
--- a/libraries/membership/membership_actor.h
+++ b/libraries/membership/membership_actor.h
@@ -80,9 +80,9 @@
   void HandleCallFinished(const membership_call_finished& finished);
   void SendCalls(std::vector<peer_call> calls);
   void ReportVersion(const endpoint& peer, std::uint64_t version);
-  // Publishes the view if a record changed, or if only counters did and
-  // `includes_counters`.
-  void Publish(bool includes_counters);
+  // Publishes the view if it changed. Called once a round, since a copy costs
+  // time in proportion to the fleet, and when this host's own record changed.
+  void Publish();
   void RecordStateChanges(const membership_snapshot& before,
                           const membership_snapshot& after);
 
--- a/libraries/membership/membership_agent.cc
+++ b/libraries/membership/membership_agent.cc
@@ -1,5 +1,6 @@
 #include "libraries/membership/membership_agent.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <caf/send.hpp>
@@ -8,35 +9,25 @@
 
 namespace bulrushshore {
 
-namespace {
-
 // A host lists an inherited incarnation only after it received the sealed table
 // of that process, so its claim goes before the process itself. Of two claims
 // that of the host in the better state holds: the other one handed the keys on.
-void ClaimInherited(membership_snapshot& snapshot, std::size_t index) {
-  const host_record& host = snapshot.hosts[index];
-  for (const std::string& incarnation : host.inherited_incarnations) {
-    const auto position =
-        snapshot.key_owners.try_emplace(incarnation, index).first;
-    if (host.state < snapshot.hosts[position->second].state) {
-      position->second = index;
+const host_record* FindOwner(const std::vector<host_record>& hosts,
+                             std::string_view incarnation) {
+  const host_record* process = nullptr;
+  const host_record* heir = nullptr;
+  for (const host_record& host : hosts) {
+    if (host.incarnation == incarnation) {
+      process = &host;
+    }
+    const std::vector<std::string>& inherited = host.inherited_incarnations;
+    const bool is_claimed = std::find(inherited.begin(), inherited.end(),
+                                      incarnation) != inherited.end();
+    if (is_claimed && (heir == nullptr || host.state < heir->state)) {
+      heir = &host;
     }
   }
-}
-
-}  // namespace
-
-membership_snapshot MakeMembershipSnapshot(const membership_view& view) {
-  membership_snapshot snapshot;
-  snapshot.self = view.self();
-  snapshot.hosts = view.Records();
-  for (std::size_t index = 0; index < snapshot.hosts.size(); ++index) {
-    ClaimInherited(snapshot, index);
-  }
-  for (std::size_t index = 0; index < snapshot.hosts.size(); ++index) {
-    snapshot.key_owners.try_emplace(snapshot.hosts[index].incarnation, index);
-  }
-  return snapshot;
+  return heir != nullptr ? heir : process;
 }
 
 membership_agent::membership_agent(const dependencies& dependencies,
@@ -47,8 +38,8 @@
   seeded_random unused_random(random_seed);
   const membership_rounds initial(options, self, unused_random);
   published_ = std::make_shared<published<membership_snapshot>>(
-      std::make_shared<const membership_snapshot>(
-          MakeMembershipSnapshot(initial.view())));
+      std::make_shared<const membership_snapshot>(membership_snapshot{
+          initial.view().self(), initial.view().Records()}));
   actor_ =
       dependencies.system.spawn<membership_actor>(membership_actor::arguments{
           dependencies.messenger, &dependencies.metrics, &dependencies.audit,
@@ -108,11 +99,11 @@
 std::optional<host_record> membership_agent::FindKeyOwner(
     std::string_view incarnation) const {
   const std::shared_ptr<const membership_snapshot> snapshot = published_->Get();
-  const auto position = snapshot->key_owners.find(incarnation);
-  if (position == snapshot->key_owners.end()) {
+  const host_record* owner = FindOwner(snapshot->hosts, incarnation);
+  if (owner == nullptr) {
     return std::nullopt;
   }
-  return snapshot->hosts[position->second];
+  return *owner;
 }
 
 std::shared_ptr<const membership_snapshot> membership_agent::Snapshot() const {
--- a/libraries/membership/membership_agent.h
+++ b/libraries/membership/membership_agent.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,12 +26,12 @@
   host_record self;
   // Ordered by id.
   std::vector<host_record> hosts;
-  // Index into `hosts` by the incarnation whose keys that host answers for.
-  std::map<std::string, std::size_t, std::less<>> key_owners;
 };
 
-// Returns the copy that is published for `view`. Thread safe.
-membership_snapshot MakeMembershipSnapshot(const membership_view& view);
+// Returns the host that answers for keys of `incarnation`, or null. Valid as
+// long as `hosts`. Thread safe.
+const host_record* FindOwner(const std::vector<host_record>& hosts,
+                             std::string_view incarnation);
 
 // Runs the gossip rounds in a CAF actor, which owns the view, and publishes
 // copies of it. Thread safe.
@@ -75,6 +74,9 @@
   // Ends the rounds. The published view stays readable.
   void Stop();
 
+  // Returns the actor, for owners that wait for its end.
+  const caf::actor& actor() const { return actor_; }
+
   // Tells the fleet that this host takes no new callers.
   void BeginLeaving();
 
--- a/libraries/membership/membership_rounds.cc
+++ b/libraries/membership/membership_rounds.cc
@@ -6,6 +6,9 @@
 namespace bulrushshore {
 namespace {
 
+// Number of hosts of a fleet that use a rejoin round, on average.
+constexpr std::uint64_t kRejoiningHosts = 8;
+
 // Moves `count` random elements to the front and drops the others.
 void KeepRandom(std::vector<const host_record*>& hosts,
                 std::size_t count,
@@ -34,7 +37,7 @@
   ++rounds_;
   checks_.Expire(now);
   view_.Expire(now, options_.suspicion_time, options_.lost_retention);
-  const std::optional<peer_call> exchange = ChooseExchange(now);
+  const std::optional<peer_call> exchange = ChooseExchange();
   if (!exchange.has_value()) {
     return {};
   }
@@ -114,9 +117,13 @@
   }
 }
 
-std::optional<peer_call> membership_rounds::ChooseExchange(time_point) {
+std::optional<peer_call> membership_rounds::ChooseExchange() {
   std::vector<const host_record*> peers = view_.Others(true);
-  const bool is_rejoin_round = rounds_ % options_.rejoin_rounds == 0;
+  // All hosts together contact seeds and absent hosts at a rate that does not
+  // grow with the fleet.
+  const bool is_rejoin_round =
+      rounds_ % options_.rejoin_rounds == 0 &&
+      (peers.empty() || random_.Uniform(peers.size()) < kRejoiningHosts);
   if (is_rejoin_round || peers.empty()) {
     std::vector<const host_record*> absent = view_.Others(false);
     const std::optional<endpoint> seed = ChooseSeed();
--- a/libraries/membership/membership_rounds.h
+++ b/libraries/membership/membership_rounds.h
@@ -24,8 +24,8 @@
   duration lost_retention = std::chrono::minutes(10);
   // Shortest time between two comparisons of full lists that a host starts.
   duration full_comparison_interval = std::chrono::seconds(5);
-  // Every so many rounds a host that is not live, or a seed, is contacted
-  // instead, which joins the parts of a fleet after a partition.
+  // Every so many rounds some hosts contact one that is not live, or a seed,
+  // which joins the parts of a fleet after a partition.
   std::uint32_t rejoin_rounds = 10;
   std::size_t max_records_per_exchange = 16;
   std::size_t max_counters_per_exchange = 16;
@@ -76,7 +76,7 @@
   std::uint64_t full_comparisons() const { return full_comparisons_; }
 
  private:
-  std::optional<peer_call> ChooseExchange(time_point now);
+  std::optional<peer_call> ChooseExchange();
   std::optional<endpoint> ChooseSeed();
   digest_message MakeDigest();
   std::vector<peer_call> OnDigestReply(const peer_call& call,
--- a/tests/fleet/agent_fleet.cc
+++ b/tests/fleet/agent_fleet.cc
@@ -62,6 +62,7 @@
   options.peer_address = PeerAddress(index);
   options.incarnation = FormatHex(next_incarnation_++);
   options.seeds = {PeerAddress(0)};
+  options.waits_for_actors = false;
   options.configuration = configuration;
   options.configuration.watch_time = std::chrono::milliseconds(0);
   options.on_snapshot =
--- a/tests/fleet/agent_fleet.h
+++ b/tests/fleet/agent_fleet.h
@@ -25,6 +25,8 @@
     tasks_.push_back(std::move(task));
   }
 
+  void Stop() override { tasks_.clear(); }
+
   // Runs the tasks that wait now, not those that they submit.
   void RunWaiting();
 
