Harden the caller server and make type names unique

Cause: caller and proxy both defined http_request and http_response, and peer_protocol and idempotency both defined handover_message, in one namespace. A shuffled run of the tests hung in 2 of 10 runs: a connection that became idle after a new one had started to wait was not closed, so that the new one waited for the whole idle time. WaitUntilIdle() did not count accepted connections that waited for a thread, and BeginShutdown() closed connections whose first request could be on its way.

--- a/libraries/idempotency/key_owner.cc
+++ b/libraries/idempotency/key_owner.cc
@@ -72,9 +72,9 @@
         },
         [this](seal_message) {
           table_.Seal();
-          return handover_message{table_.Export(Now())};
+          return key_table_message{table_.Export(Now())};
         },
-        [this](const handover_message& message) {
+        [this](const key_table_message& message) {
           return import_reply{table_.Import(message.value, Now())};
         },
     };
@@ -214,13 +214,13 @@
 }
 
 handover key_owner::SealAndExport() {
-  return Ask(system_, actor_, seal_message{}, handover_message{}).value;
+  return Ask(system_, actor_, seal_message{}, key_table_message{}).value;
 }
 
 status key_owner::Import(handover received) {
   const import_reply gone = {
       error{error_code::kInternal, "the key owner has stopped"}};
-  return Ask(system_, actor_, handover_message{std::move(received)}, gone)
+  return Ask(system_, actor_, key_table_message{std::move(received)}, gone)
       .outcome;
 }
 
--- a/libraries/idempotency/key_owner_messages.h
+++ b/libraries/idempotency/key_owner_messages.h
@@ -39,7 +39,7 @@
 
 struct seal_message {};
 
-struct handover_message {
+struct key_table_message {
   handover value;
 };
 
@@ -57,7 +57,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::incarnations_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::incarnations_reply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::seal_message)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::handover_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::key_table_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::import_reply)
 
 #endif  // LIBRARIES_IDEMPOTENCY_KEY_OWNER_MESSAGES_H_
--- a/libraries/proxy/attempt_runner.cc
+++ b/libraries/proxy/attempt_runner.cc
@@ -8,12 +8,12 @@
 constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailable = 503;
 
-bool IsFlagSet(const http_response& response, std::string_view name) {
+bool IsFlagSet(const proxy_response& response, std::string_view name) {
   return response.headers.Find(name) == "1";
 }
 
 // Reads what a target says about itself into `report`.
-void ReadTargetState(const http_response& response, attempt_report& report) {
+void ReadTargetState(const proxy_response& response, attempt_report& report) {
   report.is_draining = IsFlagSet(response, "X-Draining");
   const std::optional<std::string> load = response.headers.Find("X-Load");
   if (!load.has_value()) {
@@ -27,7 +27,7 @@
 
 // Removes what is not meant for callers, and the headers by which this host
 // speaks for itself, so that no target can forge them.
-void RemoveInternalHeaders(const work& given, http_response& response) {
+void RemoveInternalHeaders(const work& given, proxy_response& response) {
   const std::optional<std::string> length =
       response.headers.Find("Content-Length");
   RemoveHopByHopHeaders(response.headers);
@@ -77,7 +77,7 @@
     }
   }
   const bool is_answered =
-      std::holds_alternative<http_response>(state.result.outcome);
+      std::holds_alternative<proxy_response>(state.result.outcome);
   if (is_answered) {
     return state.result;
   }
@@ -121,9 +121,9 @@
   report.elapsed = clock_.Now() - start;
 
   next_step step = next_step::kDone;
-  if (std::holds_alternative<http_response>(exchanged.outcome)) {
+  if (std::holds_alternative<proxy_response>(exchanged.outcome)) {
     step = OnResponse(given, granted,
-                      std::move(std::get<http_response>(exchanged.outcome)),
+                      std::move(std::get<proxy_response>(exchanged.outcome)),
                       report, state);
   } else {
     step = OnFailure(given, granted, exchanged, report, state);
@@ -139,7 +139,7 @@
 
 attempt_runner::next_step attempt_runner::OnResponse(const work& given,
                                                      const grant& granted,
-                                                     http_response response,
+                                                     proxy_response response,
                                                      attempt_report& report,
                                                      run_state& state) {
   ReadTargetState(response, report);
--- a/libraries/proxy/attempt_runner.h
+++ b/libraries/proxy/attempt_runner.h
@@ -33,14 +33,15 @@
   bool is_idempotent = false;
   time_point deadline;
   // As it goes to the target, without hop-by-hop headers.
-  http_request message;
+  proxy_request message;
   // Ends the work when its caller is gone; may be kNoSocket.
   int caller_socket = kNoSocket;
 };
 
 struct work_result {
   // A response of a target, without hop-by-hop and internal headers.
-  std::variant<http_response, failure_point> outcome = failure_point::kNoTarget;
+  std::variant<proxy_response, failure_point> outcome =
+      failure_point::kNoTarget;
   std::chrono::milliseconds retry_after{1000};
   // Name of the target of the last attempt; empty if there was none.
   std::string target;
@@ -68,7 +69,7 @@
     // The last failure after which the work may have started.
     std::optional<failure_point> started_failure;
     // The last complete server error of a target.
-    std::optional<http_response> server_error;
+    std::optional<proxy_response> server_error;
   };
 
   enum class next_step { kDone, kRetry };
@@ -77,7 +78,7 @@
   void OnRefusal(const refusal& refused, run_state& state);
   next_step OnResponse(const work& given,
                        const grant& granted,
-                       http_response response,
+                       proxy_response response,
                        attempt_report& report,
                        run_state& state);
   next_step OnFailure(const work& given,
--- a/libraries/proxy/caller_connection.cc
+++ b/libraries/proxy/caller_connection.cc
@@ -26,7 +26,7 @@
       });
 }
 
-std::string FormatHead(const http_response& response,
+std::string FormatHead(const proxy_response& response,
                        std::string_view method,
                        bool is_last) {
   // The reason phrase is optional and carries no meaning (RFC 9112, section 4).
@@ -195,7 +195,7 @@
   return false;
 }
 
-bool caller_connection::WriteResponse(const http_response& response,
+bool caller_connection::WriteResponse(const proxy_response& response,
                                       std::string_view method,
                                       bool is_last) {
   std::string message = FormatHead(response, method, is_last);
--- a/libraries/proxy/caller_connection.h
+++ b/libraries/proxy/caller_connection.h
@@ -51,7 +51,7 @@
 
   // Writes a response framed by Content-Length; returns false if the peer did
   // not take it. `method` is that of the request.
-  bool WriteResponse(const http_response& response,
+  bool WriteResponse(const proxy_response& response,
                      std::string_view method,
                      bool is_last);
 
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -46,18 +46,20 @@
     explicit task_queue(caller_server& owner) : owner_(owner) {}
 
     void enqueue(std::function<void()> task) override {
+      owner_.OnAccepted();
       if (!owner_.workers_.Submit(task)) {
         is_overflow = true;
         task();
         is_overflow = false;
         return;
       }
-      if (owner_.workers_.HasWaitingTasks()) {
-        owner_.CloseLongestIdle();
-      }
+      owner_.MakeRoomForWaiting();
     }
 
-    void shutdown() override { owner_.workers_.Shutdown(); }
+    void shutdown() override {
+      owner_.OnAcceptLoopEnd();
+      owner_.workers_.Shutdown();
+    }
 
    private:
     caller_server& owner_;
@@ -153,16 +155,30 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     is_stopping_ = true;
   }
-  CloseAllIdle();
+  CloseAllIdle(/*with_fresh_ones=*/false);
+}
+
+void caller_server::OnAccepted() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++accepted_;
+}
+
+void caller_server::OnAcceptLoopEnd() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_accept_loop_done_ = true;
+  }
+  connection_closed_.notify_all();
 }
 
 shutdown_report caller_server::WaitUntilIdle(std::chrono::milliseconds limit) {
   BeginShutdown();
   StopAccepting();
+  CloseAllIdle(/*with_fresh_ones=*/true);
   {
     std::unique_lock<std::mutex> lock(mutex_);
     const bool is_idle = connection_closed_.wait_for(
-        lock, limit, [this] { return open_.empty(); });
+        lock, limit, [this] { return is_accept_loop_done_ && accepted_ == 0; });
     if (is_idle) {
       return {true, {}};
     }
@@ -191,13 +207,17 @@
                            "GET", true);
   ::shutdown(socket, SHUT_RDWR);
   ::close(socket);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  --accepted_;
 }
 
 void caller_server::OnConnection(int socket) {
   connections_.Increment();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    open_[socket] = {true, false, clock_.Now(), {}};
+    open_connection& added = open_[socket];
+    added = {};
+    added.idle_since = clock_.Now();
   }
   Serve(socket);
   {
@@ -205,6 +225,7 @@
     // number.
     const std::lock_guard<std::mutex> lock(mutex_);
     open_.erase(socket);
+    --accepted_;
     ::shutdown(socket, SHUT_RDWR);
     ::close(socket);
   }
@@ -213,17 +234,13 @@
 
 void caller_server::Serve(int socket) {
   caller_connection connection(socket, options_.limits, clock_);
-  if (IsStopping()) {
-    CloseAllIdle();
-  }
+  MakeRoomForWaiting();
   while (connection.WaitForRequest()) {
     if (!ServeOne(socket, connection)) {
       return;
     }
     MarkIdle(socket);
-    if (IsStopping()) {
-      CloseAllIdle();
-    }
+    MakeRoomForWaiting();
   }
 }
 
@@ -241,7 +258,7 @@
   }
   request_head& head = std::get<request_head>(read);
   const std::string method = head.request.method;
-  const http_response response = Respond(socket, head);
+  const proxy_response response = Respond(socket, head);
   const bool is_last = !head.is_keep_alive || MustCloseAfterResponse(socket);
   const bool is_written = connection.WriteResponse(response, method, is_last);
   if (is_written && is_last) {
@@ -250,12 +267,12 @@
   return is_written && !is_last;
 }
 
-http_response caller_server::Respond(int socket, request_head& head) {
+proxy_response caller_server::Respond(int socket, request_head& head) {
   const std::string request_id = RequestIdOf(head.request.headers);
   head.request.headers.Set(kRequestIdHeader, request_id);
   const int caller_socket = SetRequestId(socket, request_id);
   requests_in_flight_.Add(1);
-  http_response response =
+  proxy_response response =
       handler_.Handle(std::move(head.request), caller_socket);
   requests_in_flight_.Add(-1);
   response.headers.Set(kRequestIdHeader, request_id);
@@ -286,8 +303,20 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   open_connection& connection = open_[socket];
   connection.is_idle = true;
+  connection.has_served_request = true;
   connection.request_id.clear();
   connection.idle_since = clock_.Now();
+  if (is_stopping_) {
+    // The shutdown began after this connection's last response was formed.
+    connection.is_read_closed = true;
+    ::shutdown(socket, SHUT_RD);
+  }
+}
+
+void caller_server::MakeRoomForWaiting() {
+  if (workers_.HasWaitingTasks()) {
+    CloseLongestIdle();
+  }
 }
 
 void caller_server::CloseLongestIdle() {
@@ -311,10 +340,13 @@
   idle_closed_.Increment();
 }
 
-void caller_server::CloseAllIdle() {
+void caller_server::CloseAllIdle(bool with_fresh_ones) {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (std::pair<const int, open_connection>& entry : open_) {
-    if (entry.second.is_idle && !entry.second.is_read_closed) {
+    const bool is_closed_now =
+        entry.second.is_idle && !entry.second.is_read_closed &&
+        (with_fresh_ones || entry.second.has_served_request);
+    if (is_closed_now) {
       entry.second.is_read_closed = true;
       ::shutdown(entry.first, SHUT_RD);
     }
--- a/libraries/proxy/caller_server.h
+++ b/libraries/proxy/caller_server.h
@@ -42,10 +42,10 @@
 
   // Handles a request that carries X-Request-Id. `caller_socket` reports the
   // end of the caller's connection (see WaitForSocket()) and may be kNoSocket.
-  virtual http_response Handle(http_request request, int caller_socket) = 0;
+  virtual proxy_response Handle(proxy_request request, int caller_socket) = 0;
 
   // Returns the response to a request that could not be read.
-  virtual http_response Reject(failure_point point) = 0;
+  virtual proxy_response Reject(failure_point point) = 0;
 };
 
 // What became of the requests that were in flight at a shutdown.
@@ -77,7 +77,7 @@
   // Returns the bound port. Precondition: Start() succeeded.
   std::uint16_t port() const { return port_; }
 
-  // Serves on, but closes idle connections and every other one behind its next
+  // Serves on, but closes idle connections, and every other one after its next
   // response, so that callers move to other hosts.
   void BeginShutdown();
 
@@ -97,6 +97,7 @@
 
   struct open_connection {
     bool is_idle = true;
+    bool has_served_request = false;
     // The receiving side was shut down, so that it no longer tells whether
     // the caller is there.
     bool is_read_closed = false;
@@ -110,15 +111,22 @@
   void Serve(int socket);
   // Returns false if the connection must be closed.
   bool ServeOne(int socket, caller_connection& connection);
-  http_response Respond(int socket, request_head& head);
+  proxy_response Respond(int socket, request_head& head);
   void MarkActive(int socket);
   // Returns the socket that reports the end of the caller, or kNoSocket.
   int SetRequestId(int socket, const std::string& request_id);
   bool MustCloseAfterResponse(int socket) const;
   void StopAccepting();
   void MarkIdle(int socket);
+  // Called both when a connection starts to wait and when one becomes idle, so
+  // that it does not matter which of them happens first.
+  void MakeRoomForWaiting();
   void CloseLongestIdle();
-  void CloseAllIdle();
+  // Leaves out connections whose first request may be on its way, unless
+  // `with_fresh_ones` is set.
+  void CloseAllIdle(bool with_fresh_ones);
+  void OnAccepted();
+  void OnAcceptLoopEnd();
   std::vector<std::string> CutOffAll();
   bool IsStopping() const;
   std::string RequestIdOf(const header_list& headers);
@@ -137,6 +145,9 @@
   seeded_random random_;
   bool is_stopping_ = false;
   bool is_listener_stopped_ = false;
+  bool is_accept_loop_done_ = false;
+  // Accepted connections, those that wait for a thread included.
+  std::size_t accepted_ = 0;
   std::atomic<bool> is_accepting_ = false;
   std::uint16_t port_ = 0;
 
--- a/libraries/proxy/http_message.h
+++ b/libraries/proxy/http_message.h
@@ -40,7 +40,8 @@
   std::vector<http_header> fields_;
 };
 
-struct http_request {
+// A request between the caller and a target.
+struct proxy_request {
   std::string method;
   // Origin form, as in the request line.
   std::string target;
@@ -50,7 +51,7 @@
 
 // `body` is complete. Framing headers are not part of `headers`, except that a
 // response to HEAD may carry the Content-Length of the target.
-struct http_response {
+struct proxy_response {
   int status = 0;
   header_list headers;
   std::string body;
--- a/libraries/proxy/keyed_runner.cc
+++ b/libraries/proxy/keyed_runner.cc
@@ -7,7 +7,7 @@
 namespace bulrushshore {
 namespace {
 
-stored_response ToStored(const http_response& response) {
+stored_response ToStored(const proxy_response& response) {
   stored_response stored;
   stored.status = response.status;
   for (const http_header& field : response.headers.fields()) {
@@ -17,8 +17,8 @@
   return stored;
 }
 
-http_response FromStored(const stored_response& stored) {
-  http_response response;
+proxy_response FromStored(const stored_response& stored) {
+  proxy_response response;
   response.status = stored.status;
   for (const stored_header& field : stored.headers) {
     response.headers.Add(field.name, field.value);
@@ -124,8 +124,8 @@
 work_result keyed_runner::RunOwned(const idempotency_key& key,
                                    const work& to_run) {
   work_result result = parts_.attempts.Run(to_run);
-  if (const http_response* response =
-          std::get_if<http_response>(&result.outcome)) {
+  if (const proxy_response* response =
+          std::get_if<proxy_response>(&result.outcome)) {
     parts_.keys.Complete(key, ToStored(*response));
   } else if (MayHaveStarted(std::get<failure_point>(result.outcome))) {
     parts_.keys.CompleteUnknown(key);
@@ -161,8 +161,8 @@
     // Never not_run: an earlier attempt may have run the key at its owner.
     return Failed(FailurePointOfForwarding(*point));
   }
-  http_response response =
-      std::move(std::get<http_response>(exchanged.outcome));
+  proxy_response response =
+      std::move(std::get<proxy_response>(exchanged.outcome));
   if (!response.headers.Find("X-Outcome").has_value()) {
     // Some other server has taken over the address.
     return Failed(failure_point::kKeyOwnerUnreachable);
--- a/libraries/proxy/keyed_runner.h
+++ b/libraries/proxy/keyed_runner.h
@@ -32,7 +32,7 @@
     bool is_forwarded = false;
     work to_run;
     // As received from the caller; what the owner of the key receives.
-    http_request received;
+    proxy_request received;
   };
 
   struct keyed_result {
--- a/libraries/proxy/outcome.cc
+++ b/libraries/proxy/outcome.cc
@@ -164,10 +164,10 @@
   return OutcomeOf(point).kind == outcome_kind::kUnknown;
 }
 
-http_response MakeFailureResponse(failure_point point,
-                                  std::chrono::milliseconds retry_after) {
+proxy_response MakeFailureResponse(failure_point point,
+                                   std::chrono::milliseconds retry_after) {
   const outcome result = OutcomeOf(point);
-  http_response response;
+  proxy_response response;
   response.status = result.status;
   response.headers.Add("Content-Type", "application/json");
   response.headers.Add("X-Outcome", OutcomeKindName(result.kind));
--- a/libraries/proxy/outcome.h
+++ b/libraries/proxy/outcome.h
@@ -103,8 +103,8 @@
 
 // Returns the HTTP form of `point`: status, X-Outcome, X-Outcome-Reason, for
 // kNotRun also Retry-After in whole seconds, and a JSON body. Thread safe.
-http_response MakeFailureResponse(failure_point point,
-                                  std::chrono::milliseconds retry_after);
+proxy_response MakeFailureResponse(failure_point point,
+                                   std::chrono::milliseconds retry_after);
 
 }  // namespace bulrushshore
 
--- a/libraries/proxy/request_head.h
+++ b/libraries/proxy/request_head.h
@@ -16,7 +16,7 @@
 // The part of a request before its body.
 struct request_head {
   // The body is empty here.
-  http_request request;
+  proxy_request request;
   std::uint64_t content_length = 0;
   bool is_chunked = false;
   // The caller waits for "100 Continue" before it sends the body.
--- a/libraries/proxy/request_pipeline.cc
+++ b/libraries/proxy/request_pipeline.cc
@@ -17,7 +17,7 @@
     "Idempotency-Key", "X-Organisation", "X-Request-Deadline-Ms",
     "X-Forwarded-For-Key"};
 
-std::uint64_t Fingerprint(const http_request& message) {
+std::uint64_t Fingerprint(const proxy_request& message) {
   // Separates the parts, so that no two requests give the same byte sequence.
   const std::string head = message.method + " " + message.target + "\n";
   const XXH64_hash_t head_hash = XXH3_64bits(head.data(), head.size());
@@ -63,8 +63,20 @@
   }
 }
 
-http_response MakeJsonResponse(int status, const nlohmann::json& body) {
-  http_response response;
+outcome_kind OutcomeKindOf(const proxy_response& response) {
+  const std::string name = response.headers.Find("X-Outcome").value_or("");
+  for (const outcome_kind kind :
+       {outcome_kind::kAnswered, outcome_kind::kNotRun,
+        outcome_kind::kRefused}) {
+    if (name == OutcomeKindName(kind)) {
+      return kind;
+    }
+  }
+  return outcome_kind::kUnknown;
+}
+
+proxy_response MakeJsonResponse(int status, const nlohmann::json& body) {
+  proxy_response response;
   response.status = status;
   response.headers.Add("Content-Type", "application/json");
   response.body = body.dump();
@@ -77,8 +89,8 @@
                                    const collaborators& parts)
     : host_id_(std::move(host_id)), parts_(parts) {}
 
-http_response request_pipeline::Handle(http_request request,
-                                       int caller_socket) {
+proxy_response request_pipeline::Handle(proxy_request request,
+                                        int caller_socket) {
   request_context context;
   context.arrival = parts_.source.Now();
   context.record.request_id = request.headers.Find("X-Request-Id").value_or("");
@@ -102,9 +114,9 @@
   return Run(context);
 }
 
-http_response request_pipeline::Reject(failure_point point) {
+proxy_response request_pipeline::Reject(failure_point point) {
   parts_.accounting.AddUnread(point);
-  http_response response = MakeFailureResponse(point, kDefaultRetryAfter);
+  proxy_response response = MakeFailureResponse(point, kDefaultRetryAfter);
   response.headers.Set("X-Served-By", host_id_);
   return response;
 }
@@ -231,7 +243,7 @@
   to_run.message.headers.Add("Via", "1.1 " + host_id_);
 }
 
-http_response request_pipeline::Run(request_context& context) {
+proxy_response request_pipeline::Run(request_context& context) {
   if (context.key.empty()) {
     return Finish(context, parts_.attempts.Run(context.to_run));
   }
@@ -242,20 +254,21 @@
   return Finish(context, std::move(keyed.result));
 }
 
-http_response request_pipeline::Finish(request_context& context,
-                                       work_result result) {
+proxy_response request_pipeline::Finish(request_context& context,
+                                        work_result result) {
   context.record.target = result.target;
   context.record.attempts = result.attempts;
   if (const failure_point* point =
           std::get_if<failure_point>(&result.outcome)) {
     return Fail(context, *point, result.retry_after);
   }
-  http_response response = std::move(std::get<http_response>(result.outcome));
+  proxy_response response = std::move(std::get<proxy_response>(result.outcome));
   context.record.status = response.status;
   context.record.elapsed = parts_.source.Now() - context.arrival;
   context.record.kind = outcome_kind::kAnswered;
   if (context.record.is_forwarded_away) {
     // The owner of the key has told the outcome in the response.
+    context.record.kind = OutcomeKindOf(response);
     context.record.reason = "told-by-key-owner";
   } else {
     response.headers.Set("X-Outcome", OutcomeKindName(outcome_kind::kAnswered));
@@ -265,22 +278,22 @@
   return response;
 }
 
-http_response request_pipeline::Fail(request_context& context,
-                                     failure_point point,
-                                     std::chrono::milliseconds retry_after) {
+proxy_response request_pipeline::Fail(request_context& context,
+                                      failure_point point,
+                                      std::chrono::milliseconds retry_after) {
   const outcome failed = OutcomeOf(point);
   context.record.kind = failed.kind;
   context.record.reason = failed.reason;
   context.record.status = failed.status;
   context.record.elapsed = parts_.source.Now() - context.arrival;
   parts_.accounting.Add(context.record);
-  http_response response = MakeFailureResponse(point, retry_after);
+  proxy_response response = MakeFailureResponse(point, retry_after);
   response.headers.Set("X-Served-By", host_id_);
   return response;
 }
 
-http_response request_pipeline::Discover(const http_request& request,
-                                         const request_target& target) {
+proxy_response request_pipeline::Discover(const proxy_request& request,
+                                          const request_target& target) {
   if (request.method != "GET" && request.method != "HEAD") {
     return Reject(failure_point::kMethodNotSupported);
   }
--- a/libraries/proxy/request_pipeline.h
+++ b/libraries/proxy/request_pipeline.h
@@ -45,14 +45,14 @@
   // `host_id` is sent as X-Served-By.
   request_pipeline(std::string host_id, const collaborators& parts);
 
-  http_response Handle(http_request request, int caller_socket) override;
-  http_response Reject(failure_point point) override;
+  proxy_response Handle(proxy_request request, int caller_socket) override;
+  proxy_response Reject(failure_point point) override;
 
  private:
   // Everything that the steps learn about one request.
   struct request_context {
     time_point arrival;
-    http_request received;
+    proxy_request received;
     request_record record;
     std::shared_ptr<const routed_snapshot> configuration;
     const route* matched = nullptr;
@@ -71,13 +71,13 @@
   step_failure CheckBody(request_context& context);
   void PrepareMessage(request_context& context);
   step_failure Prepare(request_context& context);
-  http_response Run(request_context& context);
-  http_response Finish(request_context& context, work_result result);
-  http_response Fail(request_context& context,
-                     failure_point point,
-                     std::chrono::milliseconds retry_after);
-  http_response Discover(const http_request& request,
-                         const request_target& target);
+  proxy_response Run(request_context& context);
+  proxy_response Finish(request_context& context, work_result result);
+  proxy_response Fail(request_context& context,
+                      failure_point point,
+                      std::chrono::milliseconds retry_after);
+  proxy_response Discover(const proxy_request& request,
+                          const request_target& target);
 
   const std::string host_id_;
   const collaborators parts_;
--- a/libraries/proxy/target_client.h
+++ b/libraries/proxy/target_client.h
@@ -32,7 +32,7 @@
 
 struct exchange_request {
   endpoint address;
-  http_request message;
+  proxy_request message;
   time_point deadline;
   // Non-idempotent work takes a new connection: on a pooled one the target may
   // close at the moment of sending, and the outcome would be unknown.
@@ -44,7 +44,7 @@
 };
 
 struct exchange_result {
-  std::variant<http_response, failure_point> outcome;
+  std::variant<proxy_response, failure_point> outcome;
   // The exchange took place on a connection that had served another one.
   bool was_connection_reused = false;
 };
--- a/libraries/proxy/target_connection.cc
+++ b/libraries/proxy/target_connection.cc
@@ -58,7 +58,7 @@
   return !is_head_request && status != kNoContent && status != kNotModified;
 }
 
-httplib::Request ToLibraryRequest(const http_request& request) {
+httplib::Request ToLibraryRequest(const proxy_request& request) {
   httplib::Request converted;
   converted.method = request.method;
   converted.path = request.target;
@@ -87,8 +87,8 @@
   });
 }
 
-std::variant<http_response, failure_point> target_connection::Exchange(
-    const http_request& request,
+std::variant<proxy_response, failure_point> target_connection::Exchange(
+    const proxy_request& request,
     time_point deadline,
     int cancel_socket) {
   const duration remaining = deadline - clock_.Now();
@@ -215,8 +215,8 @@
                                       : failure_point::kClosedBeforeResponse;
 }
 
-http_response target_connection::TakeResponse() {
-  http_response response;
+proxy_response target_connection::TakeResponse() {
+  proxy_response response;
   response.status = head_.status;
   for (const httplib::Headers::value_type& field : head_.headers) {
     response.headers.Add(field.first, field.second);
--- a/libraries/proxy/target_connection.h
+++ b/libraries/proxy/target_connection.h
@@ -39,8 +39,10 @@
   // Sends `request` as it is and returns the complete response, or the point
   // at which the exchange failed. Opens a connection if none is open. Pass
   // kNoSocket as `cancel_socket` if nobody can cancel the exchange.
-  std::variant<http_response, failure_point>
-  Exchange(const http_request& request, time_point deadline, int cancel_socket);
+  std::variant<proxy_response, failure_point> Exchange(
+      const proxy_request& request,
+      time_point deadline,
+      int cancel_socket);
 
   // Returns true if the connection is open and nothing was received on it
   // since the last exchange.
@@ -54,7 +56,7 @@
   bool OnHead(const httplib::Response& response);
   bool OnBody(const char* data, std::size_t size);
   failure_point FindFailure() const;
-  http_response TakeResponse();
+  proxy_response TakeResponse();
 
   const exchange_limits limits_;
   const clock& clock_;
--- a/tests/proxy/keyed_request_test.cc
+++ b/tests/proxy/keyed_request_test.cc
@@ -35,6 +35,7 @@
 TEST_F(KeyedRequestTest, RunsAKeyOnceForConcurrentCallers) {
   constexpr int kCallers = 8;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::vector<std::string> responses(kCallers);
   for (std::string& response : responses) {
     callers.emplace_back([this, &response] { response = Issue(kKey); });
--- a/tests/proxy/shutdown_test.cc
+++ b/tests/proxy/shutdown_test.cc
@@ -58,6 +58,8 @@
 TEST_F(ShutdownTest, FinishesRequestsInFlight) {
   raw_connection caller = SendLookup();
   raw_connection idle = raw_connection::To(fixture_.proxy->port());
+  idle.Send("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(StatusOf(idle.ReceiveMessage()), 404);
   fixture_.proxy->BeginShutdown();
   EXPECT_EQ(idle.ReceiveAll(), "");
   shutdown_report report;
@@ -85,7 +87,10 @@
 // Guards against callers that are turned away before they know of the shutdown.
 TEST_F(ShutdownTest, ServesLateCallersUntilItStopsAccepting) {
   answer_.Open();
+  raw_connection early = raw_connection::To(fixture_.proxy->port());
   fixture_.proxy->BeginShutdown();
+  early.Send("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(StatusOf(early.ReceiveAll()), 404);
   const std::string response = fixture_.Get("/lookup");
   EXPECT_EQ(StatusOf(response), 200);
   EXPECT_EQ(HeaderOf(response, "Connection"), "close");
