--- a/libraries/membership/membership_actor.cc
+++ b/libraries/membership/membership_actor.cc
@@ -1,5 +1,6 @@
 #include "libraries/membership/membership_actor.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <caf/send.hpp>
@@ -14,6 +15,9 @@
 // Leaves the helper its own time-out, rounded up to the next round.
 constexpr std::chrono::milliseconds kSuspectCheckTimeout(2500);
 constexpr std::chrono::seconds kKeyGenerationLength(60);
+// The table of keys counts generations from a start of its own and refuses
+// those that it has not reached yet; older ones it still takes.
+constexpr std::chrono::seconds kKeyGenerationDelay(5);
 
 duration TimeoutOf(const peer_body& body) {
   if (std::holds_alternative<suspect_check_message>(body)) {
@@ -47,11 +51,9 @@
       [this](const membership_round_due&) { RunRound(); },
       [this](const membership_request& message) {
         HandleRequest(message.request);
-        Publish(false);
       },
       [this](const membership_call_finished& message) {
         HandleCallFinished(message);
-        Publish(false);
       },
       [this](const membership_probe_finished& message) {
         const suspect_check_message* check =
@@ -62,19 +64,19 @@
       },
       [this](const membership_leave&) {
         rounds_.view().SetLeaving();
-        Publish(true);
+        Publish();
       },
       [this](const membership_self_suspect& message) {
         rounds_.view().SetSelfSuspect(message.is_self_suspect);
-        Publish(true);
+        Publish();
       },
       [this](const membership_catalog_version& message) {
         rounds_.view().RaiseSelfCounters(0, message.version);
-        Publish(true);
+        Publish();
       },
       [this](const membership_inherit& message) {
         rounds_.view().Inherit(message.incarnations);
-        Publish(true);
+        Publish();
         message.done();
       },
       [this](const membership_seed& message) {
@@ -95,10 +97,12 @@
   const time_point now = clock().now();
   delayed_send(this, arguments_.options.round_interval, membership_round_due());
   arguments_.messenger->ExpireRequests();
+  const duration age =
+      std::max<duration>(now - started_ - kKeyGenerationDelay, duration(0));
   rounds_.view().RaiseSelfCounters(
-      static_cast<std::uint64_t>((now - started_) / kKeyGenerationLength), 0);
+      static_cast<std::uint64_t>(age / kKeyGenerationLength), 0);
   SendCalls(rounds_.StartRound(now));
-  Publish(true);
+  Publish();
 }
 
 void membership_actor::HandleRequest(const peer_request& request) {
@@ -169,11 +173,10 @@
   }
 }
 
-void membership_actor::Publish(bool includes_counters) {
+void membership_actor::Publish() {
   const membership_view& view = rounds_.view();
-  const bool has_new_records = view.record_changes() != published_records_;
-  const bool has_new_counters = view.counter_changes() != published_counters_;
-  if (!has_new_records && !(includes_counters && has_new_counters)) {
+  if (view.record_changes() == published_records_ &&
+      view.counter_changes() == published_counters_) {
     return;
   }
   published_records_ = view.record_changes();
@@ -181,7 +184,8 @@
   const std::shared_ptr<const membership_snapshot> before =
       arguments_.output->Get();
   const std::shared_ptr<const membership_snapshot> after =
-      std::make_shared<const membership_snapshot>(MakeMembershipSnapshot(view));
+      std::make_shared<const membership_snapshot>(
+          membership_snapshot{view.self(), view.Records()});
   arguments_.output->Set(after);
   RecordStateChanges(*before, *after);
   if (before->self != after->self &&
--- a/libraries/proxy/request_head.cc
+++ b/libraries/proxy/request_head.cc
@@ -87,7 +87,7 @@
 }
 
 failure InterpretLength(request_head& head) {
-  const header_list& headers = head.request.headers;
+  const http_headers& headers = head.request.headers;
   const std::size_t lengths = headers.Count("Content-Length");
   const std::size_t codings = headers.Count("Transfer-Encoding");
   if (lengths > 1 || codings > 1 || lengths + codings > 1) {
@@ -112,7 +112,7 @@
 }
 
 failure InterpretFields(request_head& head) {
-  const header_list& headers = head.request.headers;
+  const http_headers& headers = head.request.headers;
   const failure length_failure = InterpretLength(head);
   if (length_failure.has_value()) {
     return length_failure;
