--- a/libraries/dispatch/service_actor.cc
+++ b/libraries/dispatch/service_actor.cc
@@ -15,6 +15,10 @@
 acquire_ticket::acquire_ticket(acquire_request request)
     : request_(std::move(request)) {}
 
+acquire_ticket::~acquire_ticket() {
+  Deliver(refusal{refusal_reason::kShuttingDown});
+}
+
 std::future<acquire_outcome> acquire_ticket::Outcome() {
   return promise_.get_future();
 }
--- a/libraries/dispatch/service_actor.h
+++ b/libraries/dispatch/service_actor.h
@@ -26,6 +26,13 @@
  public:
   explicit acquire_ticket(acquire_request request);
 
+  // Refuses the request if nothing was delivered, as when the actor stops with
+  // the request still in its mailbox.
+  ~acquire_ticket();
+
+  acquire_ticket(const acquire_ticket&) = delete;
+  acquire_ticket& operator=(const acquire_ticket&) = delete;
+
   const acquire_request& request() const { return request_; }
 
   // Returns the future of the outcome. Called once.
--- a/tests/health/floor_property_test.cc
+++ b/tests/health/floor_property_test.cc
@@ -109,6 +109,48 @@
   EXPECT_GT(service.CountEvents(health_event_type::kKeptForFloor), 0U);
 }
 
+// Guards against an order of ejection that does not follow the evidence when
+// several candidates compete for the allowance.
+TEST(FloorTest, TheWorstOfSeveralCandidatesIsEjected) {
+  detector_driver service(6);
+  const detector_driver::script faulty = [](const std::string& name,
+                                            int round) {
+    const bool is_failure = name == "t1" || (name == "t0" && round % 3 != 1);
+    return is_failure ? detector_driver::Failure() : detector_driver::Success();
+  };
+  service.Run(
+      50, [](const std::string&, int) { return detector_driver::Success(); });
+  service.detector.SetTargets(service.targets, 100, service.now);
+  service.Run(60, faulty);
+  ASSERT_EQ(service.CountEvents(health_event_type::kKeptForFloor), 2U);
+  service.detector.SetTargets(service.targets, 70, service.now);
+  service.Run(1, faulty);
+  EXPECT_EQ(service.State("t0"), health_state::kReducedWeight);
+  EXPECT_EQ(service.State("t1"), health_state::kEjected);
+}
+
+// Guards against a target that is only slow and takes up the allowance while
+// another one fails all its requests.
+TEST(FloorTest, AnEjectedTargetMakesRoomForAWorseOne) {
+  detector_driver service(6);
+  const duration slow = 5 * detector_driver::kUsualTime;
+  service.Run(
+      50, [](const std::string&, int) { return detector_driver::Success(); });
+  service.Run(40, [slow](const std::string& name, int) {
+    return detector_driver::Success(name == "t0" ? slow
+                                                 : detector_driver::kUsualTime);
+  });
+  ASSERT_EQ(service.State("t0"), health_state::kEjected);
+  service.Run(120, [slow](const std::string& name, int) {
+    return name == "t1"
+               ? detector_driver::Failure()
+               : detector_driver::Success(
+                     name == "t0" ? slow : detector_driver::kUsualTime);
+  });
+  EXPECT_EQ(service.State("t1"), health_state::kEjected);
+  EXPECT_EQ(service.State("t0"), health_state::kReducedWeight);
+}
+
 // Guards against draining that adds to ejections beyond the floor.
 TEST(FloorTest, DrainingUsesTheSameAllowance) {
   detector_driver service(6);
@@ -168,5 +210,31 @@
   EXPECT_EQ(service.State("t1"), health_state::kHealthy);
 }
 
+// Guards against the ejection of a kept target for its past by an answer that
+// is good, or bad in another way, while little traffic shows the others.
+TEST(FloorTest, OnlyANewFailureEjectsAKeptTarget) {
+  detector_driver service(6);
+  service.Run(
+      50, [](const std::string&, int) { return detector_driver::Success(); });
+  service.Run(20, [](const std::string& name, int) {
+    return name <= "t1" ? detector_driver::Failure()
+                        : detector_driver::Success();
+  });
+  const std::string kept =
+      service.State("t0") == health_state::kReducedWeight ? "t0" : "t1";
+  ASSERT_EQ(service.State(kept), health_state::kReducedWeight);
+  service.detector.SetTargets(service.targets, 50, service.now);
+  service.now += detector_driver::kRound;
+  const duration slow = 10 * detector_driver::kUsualTime;
+  service.detector.Report(kept, detector_driver::Success(), service.now);
+  EXPECT_EQ(service.State(kept), health_state::kReducedWeight);
+  service.now += detector_driver::kRound;
+  service.detector.Report(kept, detector_driver::Success(slow), service.now);
+  EXPECT_EQ(service.State(kept), health_state::kReducedWeight);
+  service.now += detector_driver::kRound;
+  service.detector.Report(kept, detector_driver::Failure(), service.now);
+  EXPECT_EQ(service.State(kept), health_state::kEjected);
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/health/outlier_detector_test.cc
+++ b/tests/health/outlier_detector_test.cc
@@ -131,6 +131,10 @@
   const evidence lost{evidence_type::kConnectionLost, "lookup",
                       driver::kUsualTime};
   for (int in_flight = 0; in_flight < 6; ++in_flight) {
+    service.now += std::chrono::milliseconds(10);
+    for (const char* other : {"t1", "t2", "t3", "t4", "t5"}) {
+      service.detector.Report(other, driver::Success(), service.now);
+    }
     service.detector.Report("t0", lost, service.now);
   }
   service.Run(100, HealthyScript);
@@ -174,10 +178,12 @@
   service.Run(100, HealthyScript);
   service.Run(30, HalfFailing);
   const duration tick = driver::kRound;
-  while (service.State("t0") != health_state::kSlowStart) {
-    ASSERT_LT(service.events.size(), 20U);
+  for (int round = 0;
+       round < 100 && service.State("t0") != health_state::kSlowStart;
+       ++round) {
     service.Run(1, HealthyScript);
   }
+  ASSERT_EQ(service.State("t0"), health_state::kSlowStart);
   EXPECT_EQ(service.events.back().type, health_event_type::kReadmitted);
   EXPECT_EQ(service.events.back().reason, health_reason::kTrialsSucceeded);
   EXPECT_LT(service.detector.Health("t0", service.now).weight, 0.2);
--- a/tests/health/self_suspicion_test.cc
+++ b/tests/health/self_suspicion_test.cc
@@ -50,6 +50,29 @@
   EXPECT_GT(service.CountEvents(health_event_type::kEjected), 0U);
 }
 
+// Guards against ejections by a host that suspects itself, when the targets
+// still give good answers in between.
+TEST(SelfSuspicionTest, ASuspectHostEjectsNothing) {
+  driver service(6);
+  service.Run(100, HealthyScript);
+  service.Run(300, [](const std::string& name, int round) {
+    return name <= "t3" && round % 4 != 3 ? driver::Failure()
+                                          : driver::Success();
+  });
+  ASSERT_TRUE(service.detector.IsSelfSuspect());
+  const auto suspected =
+      std::find_if(service.events.begin(), service.events.end(),
+                   [](const health_event& event) {
+                     return event.type == health_event_type::kHostSuspected;
+                   });
+  const std::ptrdiff_t ejected = std::count_if(
+      suspected, service.events.end(), [](const health_event& event) {
+        return event.type == health_event_type::kEjected &&
+               event.reason == health_reason::kFailures;
+      });
+  EXPECT_EQ(ejected, 0);
+}
+
 // Guards against growing pauses for targets that wait for the host itself.
 TEST(SelfSuspicionTest, TrialsOfASuspectHostDoNotGrowThePause) {
   driver service(6);
