Count requests dropped by a leaving host as violations

The checker counted only requests that were under way when a graceful stop began, although a leaving host has to serve callers that have not learnt of it.

Any request sent before the process ended and lost during the stop counts now. KEEP_WORK=1 keeps the histories of scripts/fault_run.

Cause: caller_server::Serve() calls CloseAllIdle() on a connection accepted while stopping before its first request is read.

--- a/libraries/history/history_check.cc
+++ b/libraries/history/history_check.cc
@@ -156,12 +156,14 @@
     }
   }
 
+  // A leaving host serves the requests of callers that have not learnt of it
+  // yet, so that requests sent during the stop count as well.
   bool IsCutByHostStop(const attempt_record& attempt) const {
     return std::any_of(history_.host_stops().begin(),
                        history_.host_stops().end(),
                        [&attempt](const host_stop_event& stop) {
                          return stop.host == attempt.start.host &&
-                                attempt.start.unix_ms < stop.begin_ms &&
+                                attempt.start.unix_ms < stop.end_ms &&
                                 attempt.end->unix_ms >= stop.begin_ms &&
                                 attempt.end->unix_ms <= stop.end_ms;
                        });
--- a/libraries/history/history_check.h
+++ b/libraries/history/history_check.h
@@ -32,7 +32,8 @@
   kSurplusCompletion,
   // A target that stopped gracefully left work unfinished.
   kRunCutAtTargetStop,
-  // A host that stopped gracefully dropped a request that it was serving.
+  // A host that stopped gracefully dropped a request that was sent to it
+  // before its process ended.
   kRequestCutAtHostStop,
 };
 
--- a/scripts/local_fleet.sh
+++ b/scripts/local_fleet.sh
@@ -1,6 +1,7 @@
 # Functions for scripts that run the programs on loopback. Sourced with
 # `binaries` set to the folder of the programs; sets `work`, a temporary folder
-# that holds the output of each program and is removed at the end.
+# that holds the output of each program and is removed at the end, unless
+# KEEP_WORK is set.
 
 work=$(mktemp -d)
 declare -A process_of=()
@@ -13,7 +14,11 @@
   for process in "${process_of[@]}"; do
     wait "$process" 2>/dev/null || true
   done
-  rm -rf "$work"
+  if [ -n "${KEEP_WORK:-}" ]; then
+    echo "kept $work" >&2
+  else
+    rm -rf "$work"
+  fi
 }
 trap stop_processes EXIT
 
--- a/tests/history/history_check_test.cc
+++ b/tests/history/history_check_test.cc
@@ -180,13 +180,16 @@
               {target_exit_event{"t1", "incarnation", 2000}});
 }
 
+// The request was sent before the stop, or to the host while it was leaving.
 TEST(HistoryCheckTest, FindsARequestCutByTheGracefulStopOfItsHost) {
-  ExpectFound(violation_kind::kRequestCutAtHostStop, recorded_repeat::kKeyed,
-              [](generated_operation& operation, history_generator&) {
-                EndAs(operation, recorded_outcome::kUnknown);
-                operation.attempt_ends.back().reason = "connection_lost";
-              },
-              {host_stop_event{"h1", 1050, 1150}});
+  for (const std::int64_t stop_begin_ms : {1050, 950}) {
+    ExpectFound(violation_kind::kRequestCutAtHostStop, recorded_repeat::kKeyed,
+                [](generated_operation& operation, history_generator&) {
+                  EndAs(operation, recorded_outcome::kUnknown);
+                  operation.attempt_ends.back().reason = "connection_lost";
+                },
+                {host_stop_event{"h1", stop_begin_ms, 1150}});
+  }
 }
 
 // Guards against a report of work that a crash cut off, which is allowed, and
