Archive audit records of hosts in the store

Cause: hosts kept audit records in memory only, so that bulrushctl audit showed nothing. Change: each host writes its new records as one batch every 10 s if there are any, at most 60 writes/s at 600 hosts, and once more when it stops.

--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -31,6 +31,7 @@
 #include "libraries/telemetry/log.h"
 #include "libraries/telemetry/metrics.h"
 #include "services/host_daemon/admin_server.h"
+#include "services/host_daemon/audit_archiver.h"
 #include "services/host_daemon/discovery_endpoints.h"
 #include "services/host_daemon/draining_machine_poller.h"
 #include "services/host_daemon/status_report.h"
@@ -44,6 +45,8 @@
 // A leaving target must stop receiving new work within 3 s.
 constexpr std::chrono::milliseconds kMachineListInterval(2'000);
 constexpr std::chrono::seconds kHandoverLimit(5);
+// At 600 hosts that all have something to report, this is 60 writes/s.
+constexpr std::chrono::milliseconds kAuditInterval(10'000);
 
 // Holds the actor system's configuration, which must be complete before the
 // system is made.
@@ -127,6 +130,7 @@
               {fleet.snapshots(), targets, fleet.directory(), keys, claims,
                time_source, metrics, MakeDiscoveryHandler(fleet)}),
         probe_client(kProbeTimeout),
+        audit_copies(audit, store, settings.id, incarnation),
         admin({[this] { return UnreadyReasons(); },
                [this] { return DescribeStatus(); },
                [this](std::string_view fingerprint) {
@@ -136,6 +140,10 @@
               audit) {}
 
   void StartPolling(std::chrono::milliseconds probe_interval) {
+    archiver = std::make_unique<audit_archiver>(
+        system, audit_copies, kAuditInterval,
+        metrics.GetCounter("bulrush_audit_write_failures_total",
+                           "Audit batches that could not be written."));
     machine_poller = std::make_unique<draining_machine_poller>(
         system, machines, kMachineListInterval,
         [this](std::set<std::string> leaving_ips) {
@@ -195,6 +203,8 @@
   object_store_key_claims claims;
   proxy_service proxy;
   http_probe_client probe_client;
+  audit_copier audit_copies;
+  std::unique_ptr<audit_archiver> archiver;
   std::unique_ptr<draining_machine_poller> machine_poller;
   std::unique_ptr<target_prober> prober;
   admin_server admin;
@@ -289,6 +299,13 @@
   parts_->HandOverKeys();
   parts_->prober.reset();
   parts_->machine_poller.reset();
+  parts_->archiver.reset();
+  // The memory of this process ends here, so the rest is written now.
+  const status copied = parts_->audit_copies.CopyOnce();
+  if (!IsOk(copied)) {
+    LogEvent(log_level::kWarning, "audit_records_lost",
+             {{"message", ErrorOf(copied).message}});
+  }
   parts_->fleet.Stop();
   parts_->admin.Stop();
   return report;
