--- a/tests/health/outlier_detector_test.cc
+++ b/tests/health/outlier_detector_test.cc
@@ -124,6 +124,21 @@
   EXPECT_TRUE(service.events.empty());
 }
 
+// Guards against neutral outcomes that count as successes and hide a fault.
+TEST(OutlierDetectorTest, NeutralOutcomesDoNotHideFailures) {
+  driver service(6);
+  service.Run(100, HealthyScript);
+  service.Run(30, [](const std::string& name, int round) {
+    evidence observed = driver::Success();
+    if (name == "t0") {
+      observed.type =
+          round % 5 == 0 ? evidence_type::kFailure : evidence_type::kNeutral;
+    }
+    return observed;
+  });
+  EXPECT_EQ(service.State("t0"), health_state::kEjected);
+}
+
 // Guards against the ejection of a target that one request crashed.
 TEST(OutlierDetectorTest, OneCrashIsOneFailure) {
   driver service(6);
@@ -211,6 +226,7 @@
     ++failures;
   }
   EXPECT_LE(failures, 3) << "failed probes do not add to the evidence";
+  EXPECT_GT(failures, 1) << "failed probes weigh as much as requests";
 }
 
 }  // namespace
