--- a/tests/membership/host_assignment_test.cc
+++ b/tests/membership/host_assignment_test.cc
@@ -53,6 +53,7 @@
     remaining.erase("host-7");
     const std::set<std::string> after = Assigned(service, after_loss, 72);
     EXPECT_EQ(after.size(), before.size());
+    EXPECT_EQ(after.count("host-7"), 0U) << service;
     for (const std::string& id : remaining) {
       EXPECT_EQ(after.count(id), 1U) << service << ' ' << id;
     }
