Reserve vectors in two tests, as the linter asks

Cause: the linter reports growing vectors in loops of two tests. Change: reserve before the loop. Conclusion: no change of what the tests check.

--- a/tests/catalog/release_note_test.cc
+++ b/tests/catalog/release_note_test.cc
@@ -225,6 +225,7 @@
       ++targets[entry.second.service];
     }
     std::vector<int> counts;
+    counts.reserve(targets.size());
     for (const std::pair<const std::string, int>& entry : targets) {
       counts.push_back(entry.second);
     }
--- a/tests/store/store_server_test.cc
+++ b/tests/store/store_server_test.cc
@@ -150,6 +150,7 @@
     Control("/control/lost_replies?prefix=catalog/head&count=1");
     std::vector<publish_outcome> outcomes(kPublishers);
     std::vector<std::thread> threads;
+    threads.reserve(kPublishers);
     for (int index = 0; index < kPublishers; ++index) {
       threads.emplace_back([&, index] {
         http_object_store store(options_, clock_);
