Say "not run" only when the owner of the key was asked

Cause: with the store away, a request with a key in a foreign format was told "not-run" although an earlier attempt with that key may have run; the same holds for a connection beyond the thread bound, whose request is not read. A caller that then starts over with a new key would run the work twice. Ruled out: asking the key table first, since without the binding the owner is not known. Change: the three failure points that come before the owner is asked are "unknown". Two expectations in tests said "not-run" and were wrong; they now expect "unknown", and a new test covers a key that ran before the outage.

The claim budget per host is 1.5 writes/s, 95/s with 63 hosts.

--- a/libraries/proxy/key_claims.h
+++ b/libraries/proxy/key_claims.h
@@ -28,7 +28,9 @@
 
 struct key_claims_options {
   // Share of this host in the fleet's budget of 100 writes/s.
-  double writes_per_second = 2.0;
+  // FIXME: Derive it from the number of live hosts; 1.5 keeps 63 hosts below
+  // the budget, but not 600.
+  double writes_per_second = 1.5;
   double write_burst = 10.0;
 };
 
--- a/libraries/proxy/outcome.cc
+++ b/libraries/proxy/outcome.cc
@@ -44,7 +44,9 @@
 
 using enum failure_point;
 
-// In the order of the declaration of failure_point.
+// In the order of the declaration of failure_point. A failure before the key's
+// owner was asked is never not_run: an earlier attempt with the same key may
+// have run the work.
 constexpr std::array kFailureTable = {
     Refused(kMalformedRequest, kBadRequest, "malformed-request"),
     Refused(kMalformedTarget, kBadRequest, "malformed-target"),
@@ -58,7 +60,7 @@
     Refused(kKeyMalformed, kBadRequest, "key-malformed"),
     Refused(kKeyNotIssued, kBadRequest, "key-not-issued"),
     Refused(kKeyReused, kUnprocessableContent, "key-reused"),
-    NotRun(kThreadsExhausted, "threads-exhausted"),
+    Unknown(kThreadsExhausted, kBadGateway, "threads-exhausted"),
     NotRun(kUnknownService, "unknown-service"),
     NotRun(kNoTarget, "no-target"),
     NotRun(kQueueFull, "queue-full"),
@@ -69,8 +71,8 @@
     NotRun(kShuttingDown, "shutting-down"),
     NotRun(kCallerGone, "caller-gone"),
     NotRun(kKeyTableFull, "key-table-full"),
-    NotRun(kKeyClaimUnavailable, "key-claim-unavailable"),
-    NotRun(kKeyClaimBudget, "key-claim-budget"),
+    Unknown(kKeyClaimUnavailable, kBadGateway, "key-claim-unavailable"),
+    Unknown(kKeyClaimBudget, kBadGateway, "key-claim-budget"),
     NotRun(kFirstAttemptNotStarted, "first-attempt-not-started"),
     NotRun(kConnectionLimit, "connection-limit"),
     NotRun(kConnectFailed, "connect-failed"),
--- a/tests/proxy/caller_server_test.cc
+++ b/tests/proxy/caller_server_test.cc
@@ -198,7 +198,9 @@
   waiting.Send(kGet);
   raw_connection refused = raw_connection::To(fixture.proxy->port());
   const std::string response = refused.ReceiveAll();
-  EXPECT_EQ(StatusOf(response), 503);
+  // The request is not read, so that it may carry a key that ran before.
+  EXPECT_EQ(StatusOf(response), 502);
+  EXPECT_EQ(HeaderOf(response, "X-Outcome"), "unknown");
   EXPECT_EQ(HeaderOf(response, "X-Outcome-Reason"), "threads-exhausted");
   {
     const std::lock_guard<std::mutex> lock(mutex);
--- a/tests/proxy/keyed_request_test.cc
+++ b/tests/proxy/keyed_request_test.cc
@@ -139,7 +139,7 @@
 TEST_F(KeyedRequestTest, BindsForeignKeysBeforeTheyRun) {
   fixture_.store.is_unavailable = true;
   const std::string refused = Issue(KeyHeader("order-7"));
-  EXPECT_EQ(HeaderOf(refused, "X-Outcome"), "not-run");
+  EXPECT_EQ(HeaderOf(refused, "X-Outcome"), "unknown");
   EXPECT_EQ(ReasonOf(refused), "key-claim-unavailable");
   EXPECT_TRUE(target_.Requests().empty());
   fixture_.store.is_unavailable = false;
@@ -149,6 +149,15 @@
   EXPECT_EQ(fixture_.store.writes, 1);
 }
 
+// Guards against a caller that is told "not run" about a key that ran, because
+// the store that knows its owner is away when the caller asks again.
+TEST_F(KeyedRequestTest, NeverCallsAForeignKeyNotRunWithoutItsBinding) {
+  EXPECT_EQ(StatusOf(Issue(KeyHeader("order-8"))), 201);
+  fixture_.store.is_unavailable = true;
+  EXPECT_EQ(HeaderOf(Issue(KeyHeader("order-8")), "X-Outcome"), "unknown");
+  EXPECT_EQ(target_.Requests().size(), 1U);
+}
+
 // Guards against a caller's deadline that does not bound the wait for another
 // attempt with its key.
 TEST_F(KeyedRequestTest, EndsTheWaitAtTheDeadline) {
