Read a request to its end when a shutdown begins

Cause: the server ended the wait of an idle connection by shutting down the receiving side of its socket. Ruled out: a slow sender, since the fault appeared only during a graceful stop. Change: a socket pair wakes the waiting thread; the caller's socket stays readable, and data that has arrived goes before the wake-up.

--- a/benchmarks/slopes/main.cc
+++ b/benchmarks/slopes/main.cc
@@ -47,7 +47,7 @@
     largest_part = std::max(largest_part, part.size());
   }
   double memory = 0;
-  for (const auto ignored : state) {
+  while (state.KeepRunning()) {
     const double before = AllocatedBytes();
     catalog_contents decoded;
     for (std::size_t index = 0; index < parts.size(); ++index) {
@@ -112,7 +112,7 @@
                     "/resource-" + std::to_string(index) + "/item/1");
   }
   std::size_t next = 0;
-  for (const auto ignored : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(table.Find(paths[next], ""));
     next = (next + 1) % paths.size();
   }
@@ -137,7 +137,7 @@
   const std::vector<host_record> hosts = MakeHosts(Size(state));
   catalog_snapshot snapshot;
   snapshot.contents = MakeScaledCatalog({kFullServices, kFullTargets, 1, 1});
-  for (const auto ignored : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(DiscoveryResponse(
         {"service-7", "zone-1", "caller"}, hosts, snapshot, {}));
   }
@@ -157,7 +157,7 @@
   constexpr std::size_t kResponseBytes = 128;
   const std::size_t keys = Size(state);
   double memory = 0;
-  for (const auto ignored : state) {
+  while (state.KeepRunning()) {
     const double before = AllocatedBytes();
     manual_clock time;
     idempotency_table table({}, "0123456789abcdef", time.Now());
--- a/libraries/proxy/caller_connection.cc
+++ b/libraries/proxy/caller_connection.cc
@@ -7,8 +7,6 @@
 #include <cerrno>
 #include <charconv>
 
-#include "libraries/proxy/exchange_stream.h"
-
 namespace bulrushshore {
 namespace {
 
@@ -67,8 +65,9 @@
                                      const clock& source)
     : socket_(socket), limits_(limits), clock_(source) {}
 
-bool caller_connection::WaitForRequest() {
-  return !buffer_.empty() || Receive(clock_.Now() + limits_.idle_time);
+bool caller_connection::WaitForRequest(int wake_socket) {
+  return !buffer_.empty() ||
+         Receive(clock_.Now() + limits_.idle_time, wake_socket);
 }
 
 std::variant<request_head, failure_point, connection_ended>
@@ -219,9 +218,9 @@
   }
 }
 
-bool caller_connection::Receive(time_point deadline) {
+bool caller_connection::Receive(time_point deadline, int wake_socket) {
   while (true) {
-    if (WaitForSocket(socket_, POLLIN, kNoSocket, clock_, deadline) !=
+    if (WaitForSocket(socket_, POLLIN, wake_socket, clock_, deadline) !=
         stream_end::kNone) {
       return false;
     }
--- a/libraries/proxy/caller_connection.h
+++ b/libraries/proxy/caller_connection.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "libraries/base/clock.h"
+#include "libraries/proxy/exchange_stream.h"
 #include "libraries/proxy/http_message.h"
 #include "libraries/proxy/outcome.h"
 #include "libraries/proxy/request_head.h"
@@ -42,8 +43,10 @@
                     const clock& source);
 
   // Waits until the first byte of a request is there, at most for the idle
-  // time; returns false if none came.
-  bool WaitForRequest();
+  // time; returns false if none came. The wait also ends when the peer of
+  // `wake_socket` (may be kNoSocket) shuts down; a request that has begun to
+  // arrive by then is still announced.
+  bool WaitForRequest(int wake_socket);
 
   // Reads a whole request. After a failure_point the connection must be closed,
   // because the end of the request is not known.
@@ -62,8 +65,9 @@
  private:
   using failure = std::optional<failure_point>;
 
-  // Receives more bytes into the buffer; false at the end or the deadline.
-  bool Receive(time_point deadline);
+  // Receives more bytes into the buffer; false at the end, at the deadline, or
+  // when the peer of `wake_socket` shuts down.
+  bool Receive(time_point deadline, int wake_socket = kNoSocket);
   bool Send(std::string_view data, time_point deadline);
   failure ReadBody(request_head& head);
   failure ReadSizedBody(std::uint64_t size,
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <httplib.h>
@@ -213,13 +214,18 @@
 
 void caller_server::OnConnection(int socket) {
   connections_.Increment();
+  // Without these sockets the idle time alone ends the wait for a request.
+  std::array<int, 2> wake_sockets = {kNoSocket, kNoSocket};
+  (void)::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0,
+                     wake_sockets.data());
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     open_connection& added = open_[socket];
     added = {};
     added.idle_since = clock_.Now();
+    added.waker = wake_sockets[1];
   }
-  Serve(socket);
+  Serve(socket, wake_sockets[0]);
   {
     // Under the lock, so that nobody shuts down a later socket with this
     // number.
@@ -228,14 +234,19 @@
     --accepted_;
     ::shutdown(socket, SHUT_RDWR);
     ::close(socket);
+    for (const int wake_socket : wake_sockets) {
+      if (wake_socket != kNoSocket) {
+        ::close(wake_socket);
+      }
+    }
   }
   connection_closed_.notify_all();
 }
 
-void caller_server::Serve(int socket) {
+void caller_server::Serve(int socket, int wake_socket) {
   caller_connection connection(socket, options_.limits, clock_);
   MakeRoomForWaiting();
-  while (connection.WaitForRequest()) {
+  while (connection.WaitForRequest(wake_socket)) {
     if (!ServeOne(socket, connection)) {
       return;
     }
@@ -270,10 +281,9 @@
 proxy_response caller_server::Respond(int socket, request_head& head) {
   const std::string request_id = RequestIdOf(head.request.headers);
   head.request.headers.Set(kRequestIdHeader, request_id);
-  const int caller_socket = SetRequestId(socket, request_id);
+  SetRequestId(socket, request_id);
   requests_in_flight_.Add(1);
-  proxy_response response =
-      handler_.Handle(std::move(head.request), caller_socket);
+  proxy_response response = handler_.Handle(std::move(head.request), socket);
   requests_in_flight_.Add(-1);
   response.headers.Set(kRequestIdHeader, request_id);
   return response;
@@ -284,11 +294,16 @@
   open_[socket].is_idle = false;
 }
 
-int caller_server::SetRequestId(int socket, const std::string& request_id) {
+void caller_server::SetRequestId(int socket, const std::string& request_id) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  open_connection& connection = open_[socket];
-  connection.request_id = request_id;
-  return connection.is_read_closed ? kNoSocket : socket;
+  open_[socket].request_id = request_id;
+}
+
+void caller_server::EndWait(open_connection& connection) {
+  connection.is_closing = true;
+  if (connection.waker != kNoSocket) {
+    ::shutdown(connection.waker, SHUT_RDWR);
+  }
 }
 
 bool caller_server::MustCloseAfterResponse(int socket) const {
@@ -296,7 +311,7 @@
     return true;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  return is_stopping_ || open_.at(socket).is_read_closed;
+  return is_stopping_ || open_.at(socket).is_closing;
 }
 
 void caller_server::MarkIdle(int socket) {
@@ -308,8 +323,7 @@
   connection.idle_since = clock_.Now();
   if (is_stopping_) {
     // The shutdown began after this connection's last response was formed.
-    connection.is_read_closed = true;
-    ::shutdown(socket, SHUT_RD);
+    EndWait(connection);
   }
 }
 
@@ -323,8 +337,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::pair<const int, open_connection>* longest = nullptr;
   for (std::pair<const int, open_connection>& entry : open_) {
-    const bool is_candidate =
-        entry.second.is_idle && !entry.second.is_read_closed;
+    const bool is_candidate = entry.second.is_idle && !entry.second.is_closing;
     if (is_candidate &&
         (longest == nullptr ||
          entry.second.idle_since < longest->second.idle_since)) {
@@ -335,8 +348,7 @@
     return;
   }
   // Ends the wait for the next request. One that arrived before is served.
-  longest->second.is_read_closed = true;
-  ::shutdown(longest->first, SHUT_RD);
+  EndWait(longest->second);
   idle_closed_.Increment();
 }
 
@@ -344,11 +356,10 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   for (std::pair<const int, open_connection>& entry : open_) {
     const bool is_closed_now =
-        entry.second.is_idle && !entry.second.is_read_closed &&
+        entry.second.is_idle && !entry.second.is_closing &&
         (with_fresh_ones || entry.second.has_served_request);
     if (is_closed_now) {
-      entry.second.is_read_closed = true;
-      ::shutdown(entry.first, SHUT_RD);
+      EndWait(entry.second);
     }
   }
 }
--- a/libraries/proxy/caller_server.h
+++ b/libraries/proxy/caller_server.h
@@ -98,9 +98,13 @@
   struct open_connection {
     bool is_idle = true;
     bool has_served_request = false;
-    // The receiving side was shut down, so that it no longer tells whether
-    // the caller is there.
-    bool is_read_closed = false;
+    // The wait for the next request was ended; the connection closes behind
+    // the request that it serves, if any.
+    bool is_closing = false;
+    // Shutting it down ends the wait for the next request. The caller's socket
+    // itself stays open for reading, so that a request that arrives at the same
+    // moment is read as a whole.
+    int waker = kNoSocket;
     time_point idle_since;
     std::string request_id;
   };
@@ -108,13 +112,14 @@
   void Accept();
   void OnConnection(int socket);
   void OnOverflow(int socket);
-  void Serve(int socket);
+  void Serve(int socket, int wake_socket);
+  // Ends the wait of an idle connection. Precondition: mutex_ is held.
+  static void EndWait(open_connection& connection);
   // Returns false if the connection must be closed.
   bool ServeOne(int socket, caller_connection& connection);
   proxy_response Respond(int socket, request_head& head);
   void MarkActive(int socket);
-  // Returns the socket that reports the end of the caller, or kNoSocket.
-  int SetRequestId(int socket, const std::string& request_id);
+  void SetRequestId(int socket, const std::string& request_id);
   bool MustCloseAfterResponse(int socket) const;
   void StopAccepting();
   void MarkIdle(int socket);
--- a/tests/proxy/shutdown_test.cc
+++ b/tests/proxy/shutdown_test.cc
@@ -84,6 +84,23 @@
   EXPECT_EQ(caller.ReceiveAll(), "");
 }
 
+// Guards against a shutdown that cuts off a request whose first half has
+// arrived on a connection that was idle until then.
+TEST_F(ShutdownTest, ReadsARequestToItsEnd) {
+  answer_.Open();
+  raw_connection caller = raw_connection::To(fixture_.proxy->port());
+  caller.Send("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(StatusOf(caller.ReceiveMessage()), 404);
+  caller.Send("POST /none HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  caller.WaitUntilDelivered();
+  fixture_.proxy->BeginShutdown();
+  // The server has met its end of the wait by the time that another caller was
+  // served, so that the rest of the body comes after it.
+  EXPECT_EQ(StatusOf(fixture_.Get("/lookup")), 200);
+  caller.Send("cd");
+  EXPECT_EQ(StatusOf(caller.ReceiveAll()), 404);
+}
+
 // Guards against callers that are turned away before they know of the shutdown.
 TEST_F(ShutdownTest, ServesLateCallersUntilItStopsAccepting) {
   answer_.Open();
--- a/tests/proxy/socket_peer.cc
+++ b/tests/proxy/socket_peer.cc
@@ -1,13 +1,16 @@
 #include "tests/proxy/socket_peer.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <thread>
 #include <utility>
 
 namespace bulrushshore {
@@ -74,6 +77,14 @@
   }
 }
 
+void raw_connection::WaitUntilDelivered() const {
+  int unacknowledged_bytes = 1;
+  while (unacknowledged_bytes > 0 &&
+         ioctl(socket_, SIOCOUTQ, &unacknowledged_bytes) == 0) {
+    std::this_thread::yield();
+  }
+}
+
 std::string raw_connection::ReceiveMessage() {
   std::size_t size = MessageSize(buffer_);
   while (size == std::string::npos && ReceiveSome()) {
--- a/tests/proxy/socket_peer.h
+++ b/tests/proxy/socket_peer.h
@@ -25,6 +25,9 @@
 
   void Send(std::string_view data);
 
+  // Waits until the peer's system has received everything that was sent.
+  void WaitUntilDelivered() const;
+
   // Receives up to the end of a message with Content-Length; returns what came
   // before the peer closed the connection if that happens first.
   std::string ReceiveMessage();
