--- a/tests/proxy/target_failure_test.cc
+++ b/tests/proxy/target_failure_test.cc
@@ -31,7 +31,7 @@
 }
 
 std::vector<failure_case> FailureCases() {
-  const std::string large(9 * 1024 * 1024, 'x');
+  const std::string large(std::size_t{9} * 1024 * 1024, 'x');
   return {
       {"closed before the first byte", ReadRequest,
        attempt_result::kConnectionLost, "closed-before-response", true},
