--- a/utilities/operator_tool/commands.cc
+++ b/utilities/operator_tool/commands.cc
@@ -165,6 +165,28 @@
   }
 }
 
+// Reads the newest entries of a list in the store and prints them.
+template <typename Entry>
+int ShowEntries(const command_context& context,
+                std::size_t limit,
+                result<std::vector<Entry>> (*read)(object_store&, std::size_t),
+                void (*print)(const report_output&,
+                              const std::vector<Entry>&)) {
+  if (context.store == nullptr) {
+    return FailWithoutStore(context);
+  }
+  const result<std::vector<Entry>> entries = read(*context.store, limit);
+  if (!IsOk(entries)) {
+    return Fail(context, ErrorOf(entries));
+  }
+  if (context.output.format == report_format::kJson) {
+    PrintJson(context.output, ToJson(ValueOf(entries)));
+  } else {
+    print(context.output, ValueOf(entries));
+  }
+  return kExitSuccess;
+}
+
 }  // namespace
 
 int ValidateNote(const command_context& context, const std::string& file) {
@@ -264,37 +286,11 @@
 }
 
 int ShowHistory(const command_context& context, std::size_t limit) {
-  if (context.store == nullptr) {
-    return FailWithoutStore(context);
-  }
-  const result<std::vector<history_entry>> entries =
-      ReadHistory(*context.store, limit);
-  if (!IsOk(entries)) {
-    return Fail(context, ErrorOf(entries));
-  }
-  if (context.output.format == report_format::kJson) {
-    PrintJson(context.output, ToJson(ValueOf(entries)));
-  } else {
-    PrintHistory(context.output, ValueOf(entries));
-  }
-  return kExitSuccess;
+  return ShowEntries(context, limit, ReadHistory, PrintHistory);
 }
 
 int ShowAudit(const command_context& context, std::size_t limit) {
-  if (context.store == nullptr) {
-    return FailWithoutStore(context);
-  }
-  const result<std::vector<audit_record>> records =
-      ReadAuditRecords(*context.store, limit);
-  if (!IsOk(records)) {
-    return Fail(context, ErrorOf(records));
-  }
-  if (context.output.format == report_format::kJson) {
-    PrintJson(context.output, ToJson(ValueOf(records)));
-  } else {
-    PrintAudit(context.output, ValueOf(records));
-  }
-  return kExitSuccess;
+  return ShowEntries(context, limit, ReadAuditRecords, PrintAudit);
 }
 
 }  // namespace bulrushshore
