Share the organisations of consecutive catalogs

Cause: docs/CAPACITY.md lists the memory of a host as a missed bound. Every version of a catalog held its own copy of all 55,000 organisations in a map that also held each name twice (192 bytes each), and a change copied them all. Change: organisation_table keeps them in the 64 groups of the encoded parts, as sorted vectors that copies of the table share until one of them changes a group. The accessors of the four object types in apply.cc share one template now.

--- a/benchmarks/slopes/scaled_catalog.cc
+++ b/benchmarks/slopes/scaled_catalog.cc
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <string>
+#include <utility>
 
 namespace bulrushshore {
 namespace {
@@ -58,7 +59,7 @@
   for (std::size_t index = 0; index < size.organisations; ++index) {
     organisation added;
     added.name = "organisation-" + std::to_string(index);
-    contents.organisations[added.name] = added;
+    contents.organisations.Set(std::move(added));
   }
   return contents;
 }
--- a/libraries/catalog/apply.cc
+++ b/libraries/catalog/apply.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -18,16 +18,35 @@
   }
 }
 
+// Access to the objects of one type that a catalog keeps in a map.
+template <typename Object,
+          std::map<std::string, Object> catalog_contents::*kMap>
+struct map_kind {
+  using object = Object;
+
+  static std::optional<Object> Find(const catalog_contents& contents,
+                                    const std::string& key) {
+    const auto found = (contents.*kMap).find(key);
+    return found == (contents.*kMap).end() ? std::nullopt
+                                           : std::optional(found->second);
+  }
+
+  static void Set(const std::string& key,
+                  Object value,
+                  catalog_contents& contents) {
+    (contents.*kMap)[key] = std::move(value);
+  }
+
+  static void Erase(const std::string& key, catalog_contents& contents) {
+    (contents.*kMap).erase(key);
+  }
+};
+
 // Maps the fields of a section to the objects that they set.
-struct service_kind {
-  using object = service;
+struct service_kind : map_kind<service, &catalog_contents::services> {
   using fields = service_fields;
   static constexpr std::string_view kType = "service";
 
-  static std::map<std::string, service>& Objects(catalog_contents& contents) {
-    return contents.services;
-  }
-
   static void SetKey(const std::string& key, service& value) {
     value.name = key;
   }
@@ -41,15 +60,10 @@
   }
 };
 
-struct target_kind {
-  using object = target;
+struct target_kind : map_kind<target, &catalog_contents::targets> {
   using fields = target_fields;
   static constexpr std::string_view kType = "target";
 
-  static std::map<std::string, target>& Objects(catalog_contents& contents) {
-    return contents.targets;
-  }
-
   static void SetKey(const std::string& key, target& value) {
     const std::size_t slash = std::min(key.find('/'), key.size());
     value.service = key.substr(0, slash);
@@ -65,15 +79,10 @@
   }
 };
 
-struct route_kind {
-  using object = route;
+struct route_kind : map_kind<route, &catalog_contents::routes> {
   using fields = route_fields;
   static constexpr std::string_view kType = "route";
 
-  static std::map<std::string, route>& Objects(catalog_contents& contents) {
-    return contents.routes;
-  }
-
   static void SetKey(const std::string& key, route& value) { value.name = key; }
 
   static void SetFields(const route_fields& stated, route& value) {
@@ -91,9 +100,20 @@
   using fields = organisation_fields;
   static constexpr std::string_view kType = "organisation";
 
-  static std::map<std::string, organisation>& Objects(
-      catalog_contents& contents) {
-    return contents.organisations;
+  static std::optional<organisation> Find(const catalog_contents& contents,
+                                          const std::string& key) {
+    const organisation* const found = contents.organisations.Find(key);
+    return found == nullptr ? std::nullopt : std::optional(*found);
+  }
+
+  static void Set(const std::string& /*key*/,
+                  organisation value,
+                  catalog_contents& contents) {
+    contents.organisations.Set(std::move(value));
+  }
+
+  static void Erase(const std::string& key, catalog_contents& contents) {
+    contents.organisations.Erase(key);
   }
 
   static void SetKey(const std::string& key, organisation& value) {
@@ -152,25 +172,28 @@
   void ApplyTo(const note_section& section) {
     const std::string object = std::string(Kind::kType) + " " + section.key;
     lines_[object] = section.line;
-    const auto found = Kind::Objects(contents_).find(section.key);
-    const bool exists = found != Kind::Objects(contents_).end();
-    if (section.verb == note_verb::kAdd && exists) {
+    std::optional<typename Kind::object> value =
+        Kind::Find(contents_, section.key);
+    if (section.verb == note_verb::kAdd && value.has_value()) {
       errors_.push_back({section.line, object + " already exists"});
       return;
     }
-    if (section.verb != note_verb::kAdd && !exists) {
+    if (section.verb != note_verb::kAdd && !value.has_value()) {
       errors_.push_back({section.line, object + " does not exist"});
       return;
     }
     if (section.verb == note_verb::kWithdraw) {
-      Kind::Objects(contents_).erase(found);
+      Kind::Erase(section.key, contents_);
       return;
     }
     const typename Kind::fields& stated =
         std::get<typename Kind::fields>(section.fields);
-    typename Kind::object& value = Kind::Objects(contents_)[section.key];
-    Kind::SetKey(section.key, value);
-    Kind::SetFields(stated, value);
+    if (!value.has_value()) {
+      value.emplace();
+    }
+    Kind::SetKey(section.key, *value);
+    Kind::SetFields(stated, *value);
+    Kind::Set(section.key, *std::move(value), contents_);
   }
 
   void AddReferenceError(const object_error& found) {
--- a/libraries/catalog/diff.cc
+++ b/libraries/catalog/diff.cc
@@ -126,6 +126,14 @@
   return description;
 }
 
+std::map<std::string, organisation> ByName(const organisation_table& table) {
+  std::map<std::string, organisation> by_name;
+  for (organisation& value : table.Sorted()) {
+    by_name.emplace_hint(by_name.end(), value.name, std::move(value));
+  }
+  return by_name;
+}
+
 struct change_describer {
   template <typename Object>
   change_description operator()(const object_change<Object>& change) const {
@@ -141,7 +149,8 @@
   AddChanges(before.services, after.services, changes);
   AddChanges(before.targets, after.targets, changes);
   AddChanges(before.routes, after.routes, changes);
-  AddChanges(before.organisations, after.organisations, changes);
+  AddChanges(ByName(before.organisations), ByName(after.organisations),
+             changes);
   return changes;
 }
 
--- a/libraries/catalog/part_codec.cc
+++ b/libraries/catalog/part_codec.cc
@@ -1,7 +1,6 @@
 #include "libraries/catalog/part_codec.h"
 
-#include <xxhash.h>
-
+#include <algorithm>
 #include <cassert>
 #include <utility>
 #include <vector>
@@ -9,15 +8,11 @@
 #include "libraries/catalog/cbor_record.h"
 #include "libraries/catalog/digest.h"
 #include "libraries/catalog/limits.h"
+#include "libraries/catalog/name_hash.h"
 
 namespace bulrushshore {
 namespace {
 
-std::size_t Bucket(std::string_view name, std::size_t count) {
-  constexpr XXH64_hash_t kSeed = 0;
-  return XXH64(name.data(), name.size(), kSeed) % count;
-}
-
 nlohmann::json ToJson(const service& value) {
   return {{"floor_percent", value.floor_percent},
           {"max_body_bytes", value.max_body_bytes},
@@ -143,28 +138,82 @@
   }
 }
 
+void AddOrganisations(const organisation_table& organisations,
+                      std::vector<nlohmann::json>& parts) {
+  for (std::size_t group = 0; group < organisation_table::kGroupCount;
+       ++group) {
+    for (const organisation& value : organisations.Group(group)) {
+      parts[kServicePartCount + group]["organisations"].push_back(
+          ToJson(value));
+    }
+  }
+}
+
+// Decodes one object of the part with this index.
+template <typename Object>
+result<Object> DecodeObject(std::size_t index, const nlohmann::json& item) {
+  cbor_record record(item);
+  Object value;
+  Decode(record, value);
+  const status finished = record.Finish();
+  if (!IsOk(finished)) {
+    return ErrorOf(finished);
+  }
+  if (PartOf(value) != index) {
+    return error{error_code::kDataLoss,
+                 "\"" + KeyOf(value) + "\" does not belong to this part"};
+  }
+  return value;
+}
+
+error DuplicateError(const std::string& key) {
+  return error{error_code::kDataLoss, "\"" + key + "\" stands twice"};
+}
+
 // Decodes the objects of one list and adds them to `objects`.
 template <typename Object>
 status DecodeList(std::size_t index,
                   const nlohmann::json& list,
                   std::map<std::string, Object>& objects) {
   for (const nlohmann::json& item : list) {
-    cbor_record record(item);
-    Object value;
-    Decode(record, value);
-    status finished = record.Finish();
-    if (!IsOk(finished)) {
-      return finished;
+    result<Object> decoded = DecodeObject<Object>(index, item);
+    if (!IsOk(decoded)) {
+      return ErrorOf(decoded);
     }
-    if (PartOf(value) != index) {
-      return error{error_code::kDataLoss,
-                   "\"" + KeyOf(value) + "\" does not belong to this part"};
+    const std::string key = KeyOf(ValueOf(decoded));
+    if (!objects.try_emplace(key, TakeValue(std::move(decoded))).second) {
+      return DuplicateError(key);
     }
-    const std::string key = KeyOf(value);
-    if (!objects.try_emplace(key, std::move(value)).second) {
-      return error{error_code::kDataLoss, "\"" + key + "\" stands twice"};
+  }
+  return OkStatus();
+}
+
+// Decodes the list of organisations of a part, which replaces their group.
+status DecodeOrganisations(std::size_t index,
+                           const nlohmann::json& list,
+                           organisation_table& organisations) {
+  std::vector<organisation> group;
+  group.reserve(list.size());
+  for (const nlohmann::json& item : list) {
+    result<organisation> decoded = DecodeObject<organisation>(index, item);
+    if (!IsOk(decoded)) {
+      return ErrorOf(decoded);
     }
+    group.push_back(TakeValue(std::move(decoded)));
+  }
+  std::sort(group.begin(), group.end(),
+            [](const organisation& left, const organisation& right) {
+              return left.name < right.name;
+            });
+  const auto duplicate = std::adjacent_find(
+      group.begin(), group.end(),
+      [](const organisation& left, const organisation& right) {
+        return left.name == right.name;
+      });
+  if (duplicate != group.end()) {
+    return DuplicateError(duplicate->name);
   }
+  organisations.ReplaceGroup(index - kServicePartCount, std::move(group));
   return OkStatus();
 }
 
@@ -202,11 +251,11 @@
 }  // namespace
 
 std::size_t PartOfService(std::string_view service_name) {
-  return Bucket(service_name, kServicePartCount);
+  return NameBucket(service_name, kServicePartCount);
 }
 
 std::size_t PartOfOrganisation(std::string_view name) {
-  return kServicePartCount + Bucket(name, kOrganisationPartCount);
+  return kServicePartCount + organisation_table::GroupOf(name);
 }
 
 result<encoded_parts> EncodeParts(const catalog_contents& contents) {
@@ -214,7 +263,7 @@
   AddToParts("services", contents.services, trees);
   AddToParts("targets", contents.targets, trees);
   AddToParts("routes", contents.routes, trees);
-  AddToParts("organisations", contents.organisations, trees);
+  AddOrganisations(contents.organisations, trees);
   encoded_parts parts;
   for (std::size_t index = 0; index < kPartCount; ++index) {
     nlohmann::json& tree = trees[index];
@@ -263,8 +312,8 @@
   record.Integer("part", stated_index, stated_index);
   status lists = IsServicePart(index)
                      ? DecodeServicePart(index, record, contents)
-                     : DecodeList(index, record.Array("organisations"),
-                                  contents.organisations);
+                     : DecodeOrganisations(index, record.Array("organisations"),
+                                           contents.organisations);
   if (!IsOk(lists)) {
     return PartError(index, ErrorOf(lists));
   }
@@ -274,7 +323,7 @@
 
 void RemovePart(std::size_t index, catalog_contents& contents) {
   if (!IsServicePart(index)) {
-    EraseObjects(index, contents.organisations);
+    contents.organisations.ReplaceGroup(index - kServicePartCount, {});
     return;
   }
   EraseObjects(index, contents.services);
--- a/libraries/catalog/part_codec.h
+++ b/libraries/catalog/part_codec.h
@@ -16,7 +16,8 @@
 // two small parts. The number of parts is fixed: changing it would rewrite all
 // of them and needs a new format number.
 inline constexpr std::size_t kServicePartCount = 32;
-inline constexpr std::size_t kOrganisationPartCount = 64;
+inline constexpr std::size_t kOrganisationPartCount =
+    organisation_table::kGroupCount;
 inline constexpr std::size_t kPartCount =
     kServicePartCount + kOrganisationPartCount;
 inline constexpr std::size_t kMaxPartBytes = std::size_t{512} * 1024;
--- a/libraries/catalog/types.h
+++ b/libraries/catalog/types.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "libraries/base/endpoint.h"
+#include "libraries/catalog/organisation_table.h"
 
 namespace bulrushshore {
 
@@ -62,21 +63,13 @@
   bool operator==(const route&) const = default;
 };
 
-// An organisation whose requests share capacity with those of others.
-struct organisation {
-  std::string name;
-  std::uint32_t weight = 1;
-
-  bool operator==(const organisation&) const = default;
-};
-
-// Everything that release notes define. Keys: services, routes and
-// organisations by name, targets by "service/target".
+// Everything that release notes define. Keys: services and routes by name,
+// targets by "service/target".
 struct catalog_contents {
   std::map<std::string, service> services;
   std::map<std::string, target> targets;
   std::map<std::string, route> routes;
-  std::map<std::string, organisation> organisations;
+  organisation_table organisations;
 
   bool operator==(const catalog_contents&) const = default;
 };
--- a/libraries/dispatch/service_controller.cc
+++ b/libraries/dispatch/service_controller.cc
@@ -373,12 +373,9 @@
 
 double service_controller::OrganisationWeight(
     std::string_view organisation) const {
-  const std::map<std::string, bulrushshore::organisation>& known =
-      snapshot_->contents.organisations;
-  const auto position = known.find(std::string(organisation));
-  return position == known.end()
-             ? 1.0
-             : std::max<double>(1.0, position->second.weight);
+  const bulrushshore::organisation* const known =
+      snapshot_->contents.organisations.Find(organisation);
+  return known == nullptr ? 1.0 : std::max<double>(1.0, known->weight);
 }
 
 void service_controller::StartWaiting(time_point now,
--- a/tests/catalog/catalog_fixtures.cc
+++ b/tests/catalog/catalog_fixtures.cc
@@ -73,7 +73,7 @@
   for (std::size_t index = 0; index < kOrganisations; ++index) {
     const std::string name =
         "organisation-of-some-length-" + std::to_string(index);
-    contents.organisations.emplace(name, organisation{name, 1});
+    contents.organisations.Set({name, 1});
   }
   return contents;
 }
--- a/tests/catalog/diff_test.cc
+++ b/tests/catalog/diff_test.cc
@@ -10,7 +10,7 @@
   catalog_contents before;
   before.services["a"].name = "a";
   before.services["b"].name = "b";
-  before.organisations["shop"] = {"shop", 1};
+  before.organisations.Set({"shop", 1});
   catalog_contents after = before;
   after.services.erase("a");
   after.services["b"].queue_limit = 9;
--- a/tests/catalog/part_codec_test.cc
+++ b/tests/catalog/part_codec_test.cc
@@ -66,7 +66,9 @@
   drained.targets.begin()->second.state = target_state::kDraining;
   EXPECT_EQ(CountDifferences(digests, DigestParts(EncodeOrFail(drained))), 1U);
   catalog_contents weighted = before;
-  weighted.organisations.begin()->second.weight = 9;
+  organisation reweighted = weighted.organisations.Sorted().front();
+  reweighted.weight = 9;
+  weighted.organisations.Set(reweighted);
   EXPECT_EQ(CountDifferences(digests, DigestParts(EncodeOrFail(weighted))), 1U);
   catalog_contents rerouted = before;
   route& moved = rerouted.routes.begin()->second;
--- a/tests/catalog/release_note_test.cc
+++ b/tests/catalog/release_note_test.cc
@@ -84,7 +84,8 @@
   const route pay_route{"pay",     "pay", "/pay", "pay.example",
                         "payment", false, false};
   EXPECT_EQ(contents.routes.at("pay"), pay_route);
-  EXPECT_EQ(contents.organisations.at("shop"), (organisation{"shop", 4}));
+  ASSERT_NE(contents.organisations.Find("shop"), nullptr);
+  EXPECT_EQ(*contents.organisations.Find("shop"), (organisation{"shop", 4}));
 }
 
 // Guards against a report that stops at the first fault or names wrong lines.
--- a/tests/dispatch/service_controller_test.cc
+++ b/tests/dispatch/service_controller_test.cc
@@ -181,7 +181,7 @@
 // Guards against an organisation that takes all slots by sending the most.
 TEST_F(ServiceControllerTest, SharesSlotsBetweenOrganisations) {
   catalog_snapshot catalog = MakeCatalog(1, 1);
-  catalog.contents.organisations["heavy"] = {"heavy", 2};
+  catalog.contents.organisations.Set({"heavy", 2});
   Start(catalog);
   std::uint64_t running = MustStart(MakeRequest()).id;
   std::set<std::uint64_t> heavy_ids;
