Answer pollers with the version instead of the whole status

Change: GET /version returns the catalog version, and the poller asks that. The status report is written service by service and moves its lists.

--- a/services/host_daemon/admin_server.cc
+++ b/services/host_daemon/admin_server.cc
@@ -83,8 +83,12 @@
       });
   server_->Get("/status",
                [this](const httplib::Request&, httplib::Response& response) {
-                 SetJson(response, sources_.status());
+                 response.set_content(sources_.status(), "application/json");
                });
+  server_->Get(
+      "/version", [this](const httplib::Request&, httplib::Response& response) {
+        SetJson(response, {{"catalog_version", sources_.catalog_version()}});
+      });
   server_->Get("/audit", [this](const httplib::Request&,
                                 httplib::Response& response) {
     nlohmann::json records = nlohmann::json::array();
--- a/services/host_daemon/admin_server.h
+++ b/services/host_daemon/admin_server.h
@@ -1,6 +1,7 @@
 #ifndef SERVICES_HOST_DAEMON_ADMIN_SERVER_H_
 #define SERVICES_HOST_DAEMON_ADMIN_SERVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,7 +27,10 @@
 struct admin_sources {
   // Returns the reasons why the host is not ready; empty if it is ready.
   std::function<std::vector<std::string>()> unready_reasons;
-  std::function<nlohmann::json()> status;
+  // Returns the body of `GET /status`.
+  std::function<std::string()> status;
+  // Returns the catalog version in force; 0 before the first one.
+  std::function<std::uint64_t()> catalog_version;
   // Releases a request fingerprint that is held back; false if it is unknown.
   std::function<bool(std::string_view fingerprint)> release_fingerprint;
 };
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -133,6 +133,7 @@
         audit_copies(audit, store, settings.id, incarnation),
         admin({[this] { return UnreadyReasons(); },
                [this] { return DescribeStatus(); },
+               [this] { return fleet.snapshots().Current()->version; },
                [this](std::string_view fingerprint) {
                  return Release(fingerprint);
                }},
@@ -258,7 +259,7 @@
     return reasons;
   }
 
-  nlohmann::json DescribeStatus() {
+  std::string DescribeStatus() {
     return StatusReport(fleet.directory(), fleet.snapshots().Current()->version,
                         targets.Status());
   }
--- a/services/host_daemon/status_report.cc
+++ b/services/host_daemon/status_report.cc
@@ -1,6 +1,9 @@
 #include "services/host_daemon/status_report.h"
 
 #include <string>
+#include <utility>
+
+#include <nlohmann/json.hpp>
 
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
@@ -61,28 +64,36 @@
           {"slots_in_use", service.slots_in_use},
           {"queue_length", service.queue_length},
           {"is_self_suspect", service.is_self_suspect},
-          {"targets", targets},
-          {"held_fingerprints", held},
-          {"recent_events", events}};
+          {"targets", std::move(targets)},
+          {"held_fingerprints", std::move(held)},
+          {"recent_events", std::move(events)}};
 }
 
 }  // namespace
 
-nlohmann::json StatusReport(const host_directory& directory,
-                            std::uint64_t catalog_version,
-                            const std::vector<service_status>& services) {
+std::string StatusReport(const host_directory& directory,
+                         std::uint64_t catalog_version,
+                         const std::vector<service_status>& services) {
   nlohmann::json hosts = nlohmann::json::array();
   for (const host_record& host : directory.Hosts()) {
     hosts.push_back(DescribeHost(host));
   }
-  nlohmann::json described = nlohmann::json::array();
+  nlohmann::json report{{"host", DescribeHost(directory.Self())},
+                        {"catalog_version", catalog_version},
+                        {"hosts", std::move(hosts)}};
+  // The services are written one by one: a tree of all 7,800 targets at the
+  // design scale takes more memory than the configuration itself.
+  std::string text = report.dump();
+  text.back() = ',';
+  text += "\"services\":[";
   for (const service_status& service : services) {
-    described.push_back(DescribeService(service));
+    text += DescribeService(service).dump();
+    text += ',';
+  }
+  if (!services.empty()) {
+    text.pop_back();
   }
-  return {{"host", DescribeHost(directory.Self())},
-          {"catalog_version", catalog_version},
-          {"hosts", hosts},
-          {"services", described}};
+  return text + "]}\n";
 }
 
 }  // namespace bulrushshore
--- a/tests/operator_tool/commands_test.cc
+++ b/tests/operator_tool/commands_test.cc
@@ -29,12 +29,12 @@
   mutable std::atomic<std::int64_t> ticks_{0};
 };
 
-// Answers `GET /status` as a host does.
+// Answers `GET /version` as a host does.
 class status_server {
  public:
   explicit status_server(std::uint64_t version) : version_(version) {
-    server_.Get("/status", [this](const httplib::Request&,
-                                  httplib::Response& response) {
+    server_.Get("/version", [this](const httplib::Request&,
+                                   httplib::Response& response) {
       ++requests_;
       response.set_content(
           "{\"catalog_version\":" + std::to_string(version_.load()) + "}",
--- a/utilities/operator_tool/host_poller.cc
+++ b/utilities/operator_tool/host_poller.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr std::size_t kMaxStatusBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kMaxVersionBytes = 1024;
 constexpr std::size_t kMaxWorkers = 16;
 constexpr std::chrono::milliseconds kPause{100};
 constexpr std::chrono::milliseconds kRequestTimeout{1000};
@@ -21,7 +21,7 @@
   const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
   if (!document.is_object() || !document.contains("catalog_version") ||
       !document["catalog_version"].is_number_unsigned()) {
-    return error{error_code::kDataLoss, "invalid status response"};
+    return error{error_code::kDataLoss, "invalid version response"};
   }
   return document["catalog_version"].get<std::uint64_t>();
 }
@@ -30,8 +30,8 @@
                               std::chrono::milliseconds timeout,
                               const clock& time_source) {
   store_request request;
-  request.path = "/status";
-  request.max_response_bytes = kMaxStatusBytes;
+  request.path = "/version";
+  request.max_response_bytes = kMaxVersionBytes;
   const result<store_response> response =
       ExchangeHttp({address, timeout}, time_source, request);
   if (!IsOk(response)) {
--- a/utilities/operator_tool/host_poller.h
+++ b/utilities/operator_tool/host_poller.h
@@ -30,7 +30,7 @@
   std::chrono::milliseconds timeout{5000};
 };
 
-// Asks the admin endpoint `GET /status` of each host for its catalog version
+// Asks the admin endpoint `GET /version` of each host for its catalog version
 // until all hosts have the version or the time is over. Returns one entry a
 // host, in the order of the addresses. Blocks. Thread safe.
 std::vector<host_version> PollHosts(const host_poll_options& options,
