End bulrushd at the second stop signal and name what was cut off

Cause: a second SIGTERM only skipped the rest of leaving_grace_ms. While requests were finished it had no effect, an operator could not end the wait, and requests cut off at shutdown_limit_ms were only listed in one info line. A request that was still arriving was cut off without being counted, and one that was answered but whose caller had not closed yet was listed as cut off.

Change: RunShutdown() defines the sequence (docs/design.md 5.3): the first signal leaves and finishes, a second one at any moment of these two steps, or the shutdown limit, cuts off what still runs. The ids and the number go to the log (requests_cut_off) and to the standard error stream; the exit code is 1. The keys are handed over in both cases. After a cut-off the process skips the parts that wait: the long poll of the store and the threads of cut requests. The caller server keeps a phase per connection, so that the report holds what was being served, and counts what was still arriving or waiting for a thread.

--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -103,7 +103,10 @@
   BeginShutdown();
   if (accept_thread_.joinable()) {
     StopAccepting();
-    CutOffAll();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      CutOffAll();
+    }
     accept_thread_.join();
   }
 }
@@ -176,18 +179,19 @@
   BeginShutdown();
   StopAccepting();
   CloseAllIdle(/*with_fresh_ones=*/true);
+  std::unique_lock<std::mutex> lock(mutex_);
+  connection_closed_.wait_for(lock, limit, [this] {
+    return is_waiting_stopped_ || (is_accept_loop_done_ && accepted_ == 0);
+  });
+  return CutOffAll();
+}
+
+void caller_server::StopWaiting() {
   {
-    std::unique_lock<std::mutex> lock(mutex_);
-    const bool is_idle = connection_closed_.wait_for(
-        lock, limit, [this] { return is_accept_loop_done_ && accepted_ == 0; });
-    if (is_idle) {
-      return {true, {}};
-    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_waiting_stopped_ = true;
   }
-  shutdown_report report;
-  report.cut_request_ids = CutOffAll();
-  report.is_idle = report.cut_request_ids.empty();
-  return report;
+  connection_closed_.notify_all();
 }
 
 std::size_t caller_server::RequestsInFlight() const {
@@ -195,7 +199,8 @@
   return static_cast<std::size_t>(std::count_if(
       open_.begin(), open_.end(),
       [](const std::unordered_map<int, open_connection>::value_type& entry) {
-        return !entry.second.is_idle;
+        return entry.second.phase == connection_phase::kReading ||
+               entry.second.phase == connection_phase::kServing;
       }));
 }
 
@@ -256,7 +261,7 @@
 }
 
 bool caller_server::ServeOne(int socket, caller_connection& connection) {
-  MarkActive(socket);
+  MarkReading(socket);
   std::variant<request_head, failure_point, connection_ended> read =
       connection.ReadRequest();
   if (std::holds_alternative<connection_ended>(read)) {
@@ -264,6 +269,7 @@
   }
   if (const failure_point* point = std::get_if<failure_point>(&read)) {
     connection.WriteResponse(handler_.Reject(*point), "GET", true);
+    MarkFinished(socket);
     connection.FinishSending();
     return false;
   }
@@ -273,6 +279,7 @@
   const bool is_last = !head.is_keep_alive || MustCloseAfterResponse(socket);
   const bool is_written = connection.WriteResponse(response, method, is_last);
   if (is_written && is_last) {
+    MarkFinished(socket);
     connection.FinishSending();
   }
   return is_written && !is_last;
@@ -281,7 +288,7 @@
 proxy_response caller_server::Respond(int socket, request_head& head) {
   const std::string request_id = RequestIdOf(head.request.headers);
   head.request.headers.Set(kRequestIdHeader, request_id);
-  SetRequestId(socket, request_id);
+  MarkServing(socket, request_id);
   requests_in_flight_.Add(1);
   proxy_response response = handler_.Handle(std::move(head.request), socket);
   requests_in_flight_.Add(-1);
@@ -289,14 +296,21 @@
   return response;
 }
 
-void caller_server::MarkActive(int socket) {
+void caller_server::MarkReading(int socket) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  open_[socket].is_idle = false;
+  open_[socket].phase = connection_phase::kReading;
 }
 
-void caller_server::SetRequestId(int socket, const std::string& request_id) {
+void caller_server::MarkServing(int socket, const std::string& request_id) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  open_[socket].request_id = request_id;
+  open_connection& connection = open_[socket];
+  connection.phase = connection_phase::kServing;
+  connection.request_id = request_id;
+}
+
+void caller_server::MarkFinished(int socket) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  open_[socket].phase = connection_phase::kFinished;
 }
 
 void caller_server::EndWait(open_connection& connection) {
@@ -317,7 +331,7 @@
 void caller_server::MarkIdle(int socket) {
   const std::lock_guard<std::mutex> lock(mutex_);
   open_connection& connection = open_[socket];
-  connection.is_idle = true;
+  connection.phase = connection_phase::kIdle;
   connection.has_served_request = true;
   connection.request_id.clear();
   connection.idle_since = clock_.Now();
@@ -337,7 +351,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::pair<const int, open_connection>* longest = nullptr;
   for (std::pair<const int, open_connection>& entry : open_) {
-    const bool is_candidate = entry.second.is_idle && !entry.second.is_closing;
+    const bool is_candidate = entry.second.phase == connection_phase::kIdle &&
+                              !entry.second.is_closing;
     if (is_candidate &&
         (longest == nullptr ||
          entry.second.idle_since < longest->second.idle_since)) {
@@ -356,7 +371,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   for (std::pair<const int, open_connection>& entry : open_) {
     const bool is_closed_now =
-        entry.second.is_idle && !entry.second.is_closing &&
+        entry.second.phase == connection_phase::kIdle &&
+        !entry.second.is_closing &&
         (with_fresh_ones || entry.second.has_served_request);
     if (is_closed_now) {
       EndWait(entry.second);
@@ -364,16 +380,21 @@
   }
 }
 
-std::vector<std::string> caller_server::CutOffAll() {
-  std::vector<std::string> request_ids;
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::pair<const int, open_connection>& entry : open_) {
-    if (!entry.second.request_id.empty()) {
-      request_ids.push_back(entry.second.request_id);
+shutdown_report caller_server::CutOffAll() {
+  shutdown_report report;
+  // Connections that wait for a thread are accepted and not open yet.
+  report.cut_unread_connections = accepted_ - open_.size();
+  for (const std::pair<const int, open_connection>& entry : open_) {
+    if (entry.second.phase == connection_phase::kServing) {
+      report.cut_request_ids.push_back(entry.second.request_id);
+    } else if (entry.second.phase == connection_phase::kReading) {
+      ++report.cut_unread_connections;
     }
     ::shutdown(entry.first, SHUT_RDWR);
   }
-  return request_ids;
+  report.is_idle =
+      report.cut_request_ids.empty() && report.cut_unread_connections == 0;
+  return report;
 }
 
 bool caller_server::IsStopping() const {
--- a/libraries/proxy/caller_server.h
+++ b/libraries/proxy/caller_server.h
@@ -50,9 +50,13 @@
 
 // What became of the requests that were in flight at a shutdown.
 struct shutdown_report {
+  // No request was cut off.
   bool is_idle = false;
-  // Ids of the requests that were cut off at the limit.
+  // Ids of the requests that were cut off while they were served.
   std::vector<std::string> cut_request_ids;
+  // Connections that were cut off before a whole request was read, so that
+  // there is no id: the request was still arriving, or it waited for a thread.
+  std::size_t cut_unread_connections = 0;
 };
 
 // Accepts connections of callers with cpp-httplib's server, one thread for each
@@ -82,9 +86,14 @@
   void BeginShutdown();
 
   // Stops accepting and waits until every request in flight has its response,
-  // at most for `limit`; what still runs then is cut off and reported.
+  // at most for `limit` or until StopWaiting(); what still runs then is cut off
+  // and reported. Precondition: called once, after Start().
   shutdown_report WaitUntilIdle(std::chrono::milliseconds limit);
 
+  // Ends WaitUntilIdle() as if its limit had passed, whether it was called
+  // before or is called later.
+  void StopWaiting();
+
   // Returns the number of requests being read or served.
   std::size_t RequestsInFlight() const;
 
@@ -95,8 +104,17 @@
  private:
   class listener;
 
+  enum class connection_phase {
+    // Waits for a request.
+    kIdle,
+    kReading,
+    kServing,
+    // The last response was sent; the caller may still close its side.
+    kFinished,
+  };
+
   struct open_connection {
-    bool is_idle = true;
+    connection_phase phase = connection_phase::kIdle;
     bool has_served_request = false;
     // The wait for the next request was ended; the connection closes behind
     // the request that it serves, if any.
@@ -118,8 +136,9 @@
   // Returns false if the connection must be closed.
   bool ServeOne(int socket, caller_connection& connection);
   proxy_response Respond(int socket, request_head& head);
-  void MarkActive(int socket);
-  void SetRequestId(int socket, const std::string& request_id);
+  void MarkReading(int socket);
+  void MarkServing(int socket, const std::string& request_id);
+  void MarkFinished(int socket);
   bool MustCloseAfterResponse(int socket) const;
   void StopAccepting();
   void MarkIdle(int socket);
@@ -132,7 +151,8 @@
   void CloseAllIdle(bool with_fresh_ones);
   void OnAccepted();
   void OnAcceptLoopEnd();
-  std::vector<std::string> CutOffAll();
+  // Returns what was cut off. Precondition: mutex_ is held.
+  shutdown_report CutOffAll();
   bool IsStopping() const;
   std::string RequestIdOf(const http_headers& headers);
 
@@ -151,6 +171,7 @@
   bool is_stopping_ = false;
   bool is_listener_stopped_ = false;
   bool is_accept_loop_done_ = false;
+  bool is_waiting_stopped_ = false;
   // Accepted connections, those that wait for a thread included.
   std::size_t accepted_ = 0;
   std::atomic<bool> is_accepting_ = false;
--- a/libraries/proxy/proxy_service.cc
+++ b/libraries/proxy/proxy_service.cc
@@ -26,4 +26,8 @@
   return server_.WaitUntilIdle(limit);
 }
 
+void proxy_service::StopWaiting() {
+  server_.StopWaiting();
+}
+
 }  // namespace bulrushshore
--- a/libraries/proxy/proxy_service.h
+++ b/libraries/proxy/proxy_service.h
@@ -2,6 +2,7 @@
 #define LIBRARIES_PROXY_PROXY_SERVICE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -60,6 +61,13 @@
   // reports those that were cut off. Blocks.
   shutdown_report WaitUntilIdle(std::chrono::milliseconds limit);
 
+  // Ends WaitUntilIdle() as if its limit had passed, whether it was called
+  // before or is called later.
+  void StopWaiting();
+
+  // Returns the number of requests being read or served.
+  std::size_t RequestsInFlight() const { return server_.RequestsInFlight(); }
+
   // Returns the port of callers. Precondition: Start() succeeded.
   std::uint16_t port() const { return server_.port(); }
 
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -288,17 +288,22 @@
 }
 
 void host_daemon::BeginLeaving() {
+  LogEvent(log_level::kInfo, "daemon_leaving", {{"host", settings_.id}});
   parts_->is_leaving = true;
   parts_->fleet.BeginLeaving();
   parts_->proxy.BeginShutdown();
 }
 
-shutdown_report host_daemon::Stop() {
-  shutdown_report report =
-      parts_->proxy.WaitUntilIdle(settings_.shutdown_limit);
+shutdown_report host_daemon::FinishRequests() {
+  return parts_->proxy.WaitUntilIdle(settings_.shutdown_limit);
+}
+
+void host_daemon::CutOffRequests() {
+  parts_->proxy.StopWaiting();
+}
+
+void host_daemon::HandOver() {
   parts_->HandOverKeys();
-  parts_->prober.reset();
-  parts_->machine_poller.reset();
   parts_->archiver.reset();
   // The memory of this process ends here, so the rest is written now.
   const status copied = parts_->audit_copies.CopyOnce();
@@ -306,9 +311,13 @@
     LogEvent(log_level::kWarning, "audit_records_lost",
              {{"message", ErrorOf(copied).message}});
   }
+}
+
+void host_daemon::Stop() {
+  parts_->prober.reset();
+  parts_->machine_poller.reset();
   parts_->fleet.Stop();
   parts_->admin.Stop();
-  return report;
 }
 
 }  // namespace bulrushshore
--- a/services/host_daemon/host_daemon.h
+++ b/services/host_daemon/host_daemon.h
@@ -6,14 +6,15 @@
 #include "libraries/base/result.h"
 #include "libraries/proxy/caller_server.h"
 #include "services/host_daemon/daemon_settings.h"
+#include "services/host_daemon/shutdown_sequence.h"
 
 namespace bulrushshore {
 
-// All parts of one host. Not thread safe.
-class host_daemon {
+// All parts of one host. Not thread safe, except for CutOffRequests().
+class host_daemon : public stoppable_host {
  public:
   explicit host_daemon(const daemon_settings& settings);
-  ~host_daemon();
+  ~host_daemon() override;
 
   host_daemon(const host_daemon&) = delete;
   host_daemon& operator=(const host_daemon&) = delete;
@@ -22,12 +23,17 @@
   // use. Precondition: called once.
   status Start();
 
-  // Leaves the discovery responses. Callers with a cached one are served.
-  void BeginLeaving();
+  void BeginLeaving() override;
+  shutdown_report FinishRequests() override;
+  void CutOffRequests() override;
 
-  // Stops accepting, finishes the requests in flight within the settings'
-  // limit, and ends all parts. Returns what was cut off.
-  shutdown_report Stop();
+  // Hands the keys over and writes the rest of the audit records.
+  // Precondition: FinishRequests() has returned.
+  void HandOver();
+
+  // Ends all parts but the threads of requests that were cut off, for which
+  // the destructor waits. Precondition: HandOver() has returned.
+  void Stop();
 
  private:
   class parts;
--- a/services/host_daemon/main.cc
+++ b/services/host_daemon/main.cc
@@ -5,20 +5,20 @@
 // settings, 3 an address cannot be bound.
 
 #include <malloc.h>
-#include <pthread.h>
 
-#include <csignal>
-#include <ctime>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <variant>
 
 #include <gflags/gflags.h>
 
+#include "libraries/base/stop_signals.h"
 #include "libraries/settings/settings_reader.h"
 #include "libraries/telemetry/log.h"
 #include "services/host_daemon/daemon_settings.h"
 #include "services/host_daemon/host_daemon.h"
+#include "services/host_daemon/shutdown_sequence.h"
 
 DEFINE_string(settings, "", "INI file with the settings of this host");
 DEFINE_bool(check_config, false, "check the settings and exit");
@@ -31,17 +31,6 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 3;
 
-// Signals are taken by waiting for them in the main thread, so that no code
-// runs in a signal handler.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 // Each arena of the allocator keeps the memory of the largest snapshot that was
 // built in it. With one arena per thread a host with a full-size configuration
 // grew by 12 to 30 MB per change.
@@ -50,23 +39,15 @@
   (void)mallopt(M_ARENA_MAX, kArenas);
 }
 
-void WaitForSignal(const sigset_t& signals) {
-  int received = 0;
-  sigwait(&signals, &received);
-}
-
-// Returns true if a signal came within `limit`.
-bool WaitForSignal(const sigset_t& signals, std::chrono::milliseconds limit) {
-  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
-  constexpr std::int64_t kNanosecondsPerMillisecond = 1'000'000;
-  timespec wait{};
-  wait.tv_sec = limit.count() / kMillisecondsPerSecond;
-  wait.tv_nsec =
-      limit.count() % kMillisecondsPerSecond * kNanosecondsPerMillisecond;
-  return sigtimedwait(&signals, nullptr, &wait) > 0;
+void ReportCutRequests(const shutdown_report& report) {
+  LogEvent(log_level::kWarning, "requests_cut_off",
+           {{"count", report.cut_request_ids.size()},
+            {"request_ids", report.cut_request_ids},
+            {"unread_connections", report.cut_unread_connections}});
+  std::cerr << "bulrushd: " << DescribeCutRequests(report) << std::endl;
 }
 
-int RunDaemon(const daemon_settings& settings, const sigset_t& signals) {
+int RunDaemon(const daemon_settings& settings, const stop_signals& signals) {
   host_daemon daemon(settings);
   const status started = daemon.Start();
   if (!IsOk(started)) {
@@ -77,14 +58,23 @@
            {{"host", settings.id},
             {"zone", settings.zone},
             {"caller_address", FormatEndpoint(settings.caller_address)}});
-  WaitForSignal(signals);
-  LogEvent(log_level::kInfo, "daemon_leaving", {{"host", settings.id}});
-  daemon.BeginLeaving();
-  WaitForSignal(signals, settings.leaving_grace);
-  const shutdown_report report = daemon.Stop();
+  const shutdown_report report =
+      RunShutdown(signals, settings.leaving_grace, daemon);
+  if (!report.is_idle) {
+    ReportCutRequests(report);
+  }
+  daemon.HandOver();
+  if (report.is_idle) {
+    daemon.Stop();
+  }
   LogEvent(log_level::kInfo, "daemon_stopped",
            {{"host", settings.id}, {"cut_requests", report.cut_request_ids}});
-  return report.is_idle ? kExitOk : kExitCutOff;
+  if (!report.is_idle) {
+    // Stop() waits for a long poll of the store, up to 5 s, and the destructor
+    // for the threads of cut requests, up to the timeout of the service.
+    std::quick_exit(kExitCutOff);
+  }
+  return kExitOk;
 }
 
 int Run() {
@@ -110,7 +100,8 @@
     return kExitOk;
   }
   LimitArenas();
-  const sigset_t signals = BlockStopSignals();
+  // Before the first thread starts.
+  const stop_signals signals;
   ConfigureLogging(settings.minimum_log_level);
   return RunDaemon(settings, signals);
 }
@@ -122,10 +113,12 @@
   gflags::SetUsageMessage(
       "runs one host of the fleet\n\n"
       "  bulrushd --settings=FILE [--check_config]\n\n"
-      "SIGTERM or SIGINT stops it gracefully; a second one skips the rest of\n"
-      "leaving_grace_ms. Exit codes: 0 every request was answered, 1 requests\n"
-      "were cut off, 2 wrong usage or faulty settings, 3 an address is in "
-      "use.");
+      "The first SIGTERM or SIGINT makes the host leave the discovery\n"
+      "responses, serve late callers for leaving_grace_ms and finish the\n"
+      "requests in flight. A second signal, or the end of shutdown_limit_ms,\n"
+      "cuts off what still runs and names it on the standard error stream.\n\n"
+      "Exit codes: 0 every request was answered, 1 requests were cut off, 2\n"
+      "wrong usage or faulty settings, 3 an address is in use.");
   gflags::SetVersionString(BULRUSHSHORE_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
   if (argc > 1) {
--- a/tests/proxy/shutdown_test.cc
+++ b/tests/proxy/shutdown_test.cc
@@ -84,6 +84,54 @@
   EXPECT_EQ(caller.ReceiveAll(), "");
 }
 
+// Guards against a second stop signal that has to wait for a slow target.
+TEST_F(ShutdownTest, CutsOffAtOnceWhenTheWaitIsStopped) {
+  raw_connection caller = SendLookup();
+  shutdown_report report;
+  std::thread waiting(
+      [&] { report = fixture_.proxy->WaitUntilIdle(std::chrono::hours(1)); });
+  fixture_.proxy->StopWaiting();
+  waiting.join();
+  EXPECT_FALSE(report.is_idle);
+  EXPECT_EQ(report.cut_request_ids, std::vector<std::string>{"slow-1"});
+  EXPECT_EQ(report.cut_unread_connections, 0U);
+  EXPECT_EQ(caller.ReceiveAll(), "");
+}
+
+// Guards against a request that is cut off while it arrives and that no report
+// mentions, because it has no id yet.
+TEST_F(ShutdownTest, CountsRequestsThatWereStillArriving) {
+  raw_connection caller = raw_connection::To(fixture_.proxy->port());
+  caller.Send(
+      "POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  while (fixture_.proxy->RequestsInFlight() == 0) {
+    std::this_thread::yield();
+  }
+  fixture_.proxy->StopWaiting();
+  const shutdown_report report =
+      fixture_.proxy->WaitUntilIdle(std::chrono::hours(1));
+  EXPECT_FALSE(report.is_idle);
+  EXPECT_TRUE(report.cut_request_ids.empty());
+  EXPECT_EQ(report.cut_unread_connections, 1U);
+}
+
+// Guards against an answered request that is reported as cut off, because its
+// caller has not closed the connection yet.
+TEST_F(ShutdownTest, DoesNotReportAnsweredRequests) {
+  answer_.Open();
+  raw_connection caller = raw_connection::To(fixture_.proxy->port());
+  caller.Send("GET /lookup HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(StatusOf(caller.ReceiveMessage()), 200);
+  while (fixture_.proxy->RequestsInFlight() > 0) {
+    std::this_thread::yield();
+  }
+  fixture_.proxy->StopWaiting();
+  const shutdown_report report =
+      fixture_.proxy->WaitUntilIdle(std::chrono::hours(1));
+  EXPECT_TRUE(report.is_idle);
+  EXPECT_TRUE(report.cut_request_ids.empty());
+}
+
 // Guards against a shutdown that cuts off a request whose first half has
 // arrived on a connection that was idle until then.
 TEST_F(ShutdownTest, ReadsARequestToItsEnd) {
