--- a/scripts/local_fleet.sh
+++ b/scripts/local_fleet.sh
@@ -72,7 +72,8 @@
 }
 
 # start_host ID CALLER_ADDRESS PEER_ADDRESS SEEDS STORE [ZONE [ADMIN_ADDRESS
-# [PROBE_INTERVAL_MS]]]
+# [PROBE_INTERVAL_MS]]]; CALLER_THREADS sets the host's bound on open
+# connections.
 start_host() {
   cat >"$work/$1.ini" <<END
 [host]
@@ -81,6 +82,7 @@
 caller_address = $2
 peer_address = $3
 admin_address = ${7:-127.0.0.1:$(free_port)}
+caller_threads = ${CALLER_THREADS:-256}
 leaving_grace_ms = 2000
 discovery_ttl_ms = 1000
 probe_interval_ms = ${8:-2000}
