End slow requests early when other callers wait for a thread

Cause: idle connections are closed for a waiting caller, but slow senders held all threads up to their time limits (5 s for a head, 10 s for a body), which is longer than most callers wait.

Change: a request that has been arriving for more than 1 s is ended with sender-too-slow (408) as soon as a connection waits for a thread, checked every 0.1 s. Nothing changes while no connection waits.

Slow readers of responses can still hold their threads for 10 s. A chunked body that stops within a chunk-size line is still told as malformed (400) instead of too slow (408), as before.

--- a/libraries/proxy/caller_connection.cc
+++ b/libraries/proxy/caller_connection.cc
@@ -62,8 +62,12 @@
 
 caller_connection::caller_connection(int socket,
                                      const caller_limits& limits,
-                                     const clock& source)
-    : socket_(socket), limits_(limits), clock_(source) {}
+                                     const clock& source,
+                                     const contention_source& contention)
+    : socket_(socket),
+      limits_(limits),
+      clock_(source),
+      contention_(contention) {}
 
 bool caller_connection::WaitForRequest(int wake_socket) {
   return !buffer_.empty() ||
@@ -72,14 +76,15 @@
 
 std::variant<request_head, failure_point, connection_ended>
 caller_connection::ReadRequest() {
-  const time_point deadline = clock_.Now() + limits_.head_time;
+  reading_since_ = clock_.Now();
+  const time_point deadline = reading_since_ + limits_.head_time;
   std::size_t end = buffer_.find(kHeadEnd);
   while (end == std::string::npos) {
     if (buffer_.size() > kMaxRequestHeadBytes) {
       return failure_point::kHeadTooLarge;
     }
-    if (!Receive(deadline)) {
-      if (clock_.Now() < deadline) {
+    if (!ReceiveRequestBytes(deadline)) {
+      if (clock_.Now() < deadline && !has_given_way_) {
         return connection_ended{};
       }
       return failure_point::kSenderTooSlow;
@@ -123,7 +128,7 @@
                                                             time_point deadline,
                                                             std::string& body) {
   while (buffer_.size() < size) {
-    if (!Receive(deadline)) {
+    if (!ReceiveRequestBytes(deadline)) {
       return failure_point::kSenderTooSlow;
     }
   }
@@ -164,7 +169,7 @@
 std::optional<std::string> caller_connection::ReadLine(time_point deadline) {
   std::size_t end = buffer_.find(kLineEnd);
   while (end == std::string::npos) {
-    if (buffer_.size() > kMaxChunkLineBytes || !Receive(deadline)) {
+    if (buffer_.size() > kMaxChunkLineBytes || !ReceiveRequestBytes(deadline)) {
       return std::nullopt;
     }
     end = buffer_.find(kLineEnd);
@@ -218,6 +223,28 @@
   }
 }
 
+bool caller_connection::ReceiveRequestBytes(time_point deadline) {
+  while (true) {
+    if (MustGiveWay()) {
+      has_given_way_ = true;
+      return false;
+    }
+    const time_point now = clock_.Now();
+    const time_point next_check = now + limits_.contention_check_interval;
+    if (Receive(std::min(deadline, next_check))) {
+      return true;
+    }
+    if (clock_.Now() >= deadline || clock_.Now() < next_check) {
+      return false;
+    }
+  }
+}
+
+bool caller_connection::MustGiveWay() const {
+  return clock_.Now() - reading_since_ >= limits_.contended_read_time &&
+         contention_.HasWaitingConnections();
+}
+
 bool caller_connection::Receive(time_point deadline, int wake_socket) {
   while (true) {
     if (WaitForSocket(socket_, POLLIN, wake_socket, clock_, deadline) !=
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -25,6 +25,18 @@
              "0123456789._-") == std::string_view::npos;
 }
 
+class thread_contention : public contention_source {
+ public:
+  explicit thread_contention(const worker_pool& workers) : workers_(workers) {}
+
+  bool HasWaitingConnections() const override {
+    return workers_.HasWaitingTasks();
+  }
+
+ private:
+  const worker_pool& workers_;
+};
+
 // Set on the accepting thread while it runs a task that found no room.
 thread_local bool is_overflow = false;
 
@@ -208,7 +220,8 @@
   rejected_connections_.Increment();
   caller_limits no_wait = options_.limits;
   no_wait.write_time = std::chrono::milliseconds(0);
-  caller_connection connection(socket, no_wait, clock_);
+  const thread_contention contention(workers_);
+  caller_connection connection(socket, no_wait, clock_, contention);
   connection.WriteResponse(handler_.Reject(failure_point::kThreadsExhausted),
                            "GET", true);
   ::shutdown(socket, SHUT_RDWR);
@@ -249,7 +262,8 @@
 }
 
 void caller_server::Serve(int socket, int wake_socket) {
-  caller_connection connection(socket, options_.limits, clock_);
+  const thread_contention contention(workers_);
+  caller_connection connection(socket, options_.limits, clock_, contention);
   MakeRoomForWaiting();
   while (connection.WaitForRequest(wake_socket)) {
     if (!ServeOne(socket, connection)) {
--- a/tests/proxy/caller_server_test.cc
+++ b/tests/proxy/caller_server_test.cc
@@ -18,6 +18,20 @@
   return options;
 }
 
+// Two threads, no limit of time, and slow senders that have to give way from
+// their first byte on.
+proxy_options WithoutTimeLimits() {
+  caller_limits limits;
+  limits.idle_time = std::chrono::hours(1);
+  limits.head_time = std::chrono::hours(1);
+  limits.body_time = std::chrono::hours(1);
+  limits.contended_read_time = milliseconds(0);
+  limits.contention_check_interval = milliseconds(1);
+  proxy_options options = WithLimits(limits);
+  options.server.max_threads = 2;
+  return options;
+}
+
 // A target that answers every request, and a proxy in front of it.
 struct served_proxy {
   explicit served_proxy(proxy_options options = {})
@@ -164,6 +178,85 @@
   }
 }
 
+// Guards against callers that keep connections for later requests and thereby
+// all threads from working ones.
+TEST(CallerServerTest, ClosesIdleKeepAliveConnectionsForWorkingOnes) {
+  caller_limits limits;
+  limits.idle_time = std::chrono::hours(1);
+  proxy_options options = WithLimits(limits);
+  options.server.max_threads = 4;
+  served_proxy proxy(options);
+  std::vector<raw_connection> callers;
+  for (int index = 0; index < 3; ++index) {
+    callers.push_back(raw_connection::To(proxy.fixture.proxy->port()));
+    callers.back().Send(kGet);
+    const std::string response = callers.back().ReceiveMessage();
+    EXPECT_EQ(StatusOf(response), 200);
+    EXPECT_EQ(HeaderOf(response, "Connection"), "");
+  }
+  // Holds the last thread, so that the working caller finds none.
+  raw_connection silent = raw_connection::To(proxy.fixture.proxy->port());
+  for (int index = 0; index < 8; ++index) {
+    EXPECT_EQ(StatusOf(proxy.fixture.Get("/lookup")), 200);
+  }
+}
+
+// Guards against callers that send slowly on every thread and thereby keep a
+// working one waiting for ever.
+TEST(CallerServerTest, ServesAWorkingCallerBesideSlowSendersAtTheBound) {
+  caller_limits limits;
+  limits.idle_time = std::chrono::hours(1);
+  limits.head_time = milliseconds(50);
+  limits.body_time = milliseconds(50);
+  proxy_options options = WithLimits(limits);
+  options.server.max_threads = 4;
+  served_proxy proxy(options);
+  std::vector<raw_connection> slow;
+  for (const std::string_view part :
+       {"GET /lookup HTTP/1.1\r\nHo", "G",
+        "POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab",
+        "POST /lookup HTTP/1.1\r\nHost: a\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n9\r\nab"}) {
+    slow.push_back(raw_connection::To(proxy.fixture.proxy->port()));
+    slow.back().Send(part);
+  }
+  while (proxy.fixture.proxy->RequestsInFlight() < slow.size()) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(StatusOf(proxy.fixture.Get("/lookup")), 200);
+}
+
+// Guards against slow senders that hold all threads up to their time limits
+// while another caller waits.
+TEST(CallerServerTest, SlowSendersGiveWayToWaitingCallers) {
+  served_proxy proxy(WithoutTimeLimits());
+  const std::uint16_t port = proxy.fixture.proxy->port();
+  raw_connection slow_head = raw_connection::To(port);
+  slow_head.Send("GET /lookup HTTP/1.1\r\nHo");
+  raw_connection slow_body = raw_connection::To(port);
+  slow_body.Send(
+      "POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+  while (proxy.fixture.proxy->RequestsInFlight() < 2) {
+    std::this_thread::yield();
+  }
+  for (int index = 0; index < 4; ++index) {
+    EXPECT_EQ(StatusOf(proxy.fixture.Get("/lookup")), 200);
+  }
+}
+
+// Guards against a slow sender that is turned away although nobody waits.
+TEST(CallerServerTest, SlowSendersKeepTheirThreadWhileNobodyWaits) {
+  served_proxy proxy(WithoutTimeLimits());
+  raw_connection slow = raw_connection::To(proxy.fixture.proxy->port());
+  slow.Send("GET /lookup HTTP/1.1\r\nHo");
+  while (proxy.fixture.proxy->RequestsInFlight() < 1) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(StatusOf(proxy.fixture.Get("/lookup")), 200);
+  slow.Send("st: a\r\n\r\n");
+  EXPECT_EQ(StatusOf(slow.ReceiveMessage()), 200);
+}
+
 // Guards against idle connections that are never closed.
 TEST(CallerServerTest, ClosesConnectionsAfterTheIdleTime) {
   caller_limits limits;
