--- a/benchmarks/load/added_latency.cc
+++ b/benchmarks/load/added_latency.cc
@@ -12,10 +12,9 @@
 #include <vector>
 
 #include <gflags/gflags.h>
-#include <caf/actor_system.hpp>
-#include <caf/actor_system_config.hpp>
 
 #include "libraries/base/clock.h"
+#include "libraries/base/program_runtime.h"
 #include "libraries/base/random_source.h"
 #include "libraries/caller/caller.h"
 #include "libraries/caller/discovery_cache.h"
@@ -116,10 +115,8 @@
 int Measure(const endpoint& target,
             const endpoint& host,
             const std::vector<work_kind>& kinds) {
-  caf::actor_system_config config;
-  config.set("scheduler.max-threads", 1);
-  caf::actor_system system{config};
-  const runtime_clock time(system.clock());
+  const program_runtime runtime;
+  const clock& time = runtime.time();
   http_transport transport(time, std::chrono::milliseconds(500));
   fixed_host_resolver direct_resolver(ListOf(target, time));
   discovery_cache host_resolver({host}, "", transport, time);
--- a/libraries/base/stop_signals.cc
+++ b/libraries/base/stop_signals.cc
@@ -41,7 +41,7 @@
   is_ending_ = true;
   // Ends the wait. Sent to the one thread, so that it is no stop signal of the
   // process; has no effect behind the wait, because the signal is blocked.
-  pthread_kill(thread_.native_handle(), SIGTERM);
+  pthread_kill(thread_.native_handle(), SIGINT);
   thread_.join();
 }
 
--- a/libraries/history/json_line_file.cc
+++ b/libraries/history/json_line_file.cc
@@ -20,6 +20,14 @@
   return std::unique_ptr<json_line_file>(new json_line_file(descriptor));
 }
 
+result<std::unique_ptr<json_line_file>> json_line_file::OpenIfNamed(
+    const std::string& path) {
+  if (path.empty()) {
+    return std::unique_ptr<json_line_file>();
+  }
+  return Open(path);
+}
+
 json_line_file::json_line_file(int descriptor) : descriptor_(descriptor) {}
 
 json_line_file::~json_line_file() {
--- a/libraries/history/json_line_file.h
+++ b/libraries/history/json_line_file.h
@@ -20,6 +20,10 @@
   // file cannot be opened.
   static result<std::unique_ptr<json_line_file>> Open(const std::string& path);
 
+  // As Open(), but returns no file (nullptr) if `path` is empty.
+  static result<std::unique_ptr<json_line_file>> OpenIfNamed(
+      const std::string& path);
+
   ~json_line_file();
   json_line_file(const json_line_file&) = delete;
   json_line_file& operator=(const json_line_file&) = delete;
--- a/libraries/store/http_object_store.cc
+++ b/libraries/store/http_object_store.cc
@@ -88,17 +88,9 @@
   }
   store_request request;
   request.path = "/objects/" + std::string(key);
-  request.max_response_bytes = kMaxObjectBytes;
-  result<store_response> response =
-      ExchangeHttp(options_, time_source_, request);
-  if (!IsOk(response)) {
-    return ReadError(ErrorOf(response));
-  }
-  if (ValueOf(response).status_code == kNotFound) {
-    return error{error_code::kNotFound,
-                 "no object \"" + std::string(key) + "\""};
-  }
-  return ToStoredObject(TakeValue(std::move(response)));
+  return ReadObject(
+      std::move(request), kNotFound,
+      {error_code::kNotFound, "no object \"" + std::string(key) + "\""});
 }
 
 result<std::uint64_t> http_object_store::Put(std::string_view key,
@@ -186,15 +178,22 @@
                  "?after=" + std::to_string(after) +
                  "&timeout_ms=" + std::to_string(timeout.count());
   request.extra_wait = timeout;
+  return ReadObject(std::move(request), kNotModified,
+                    {error_code::kDeadlineExceeded,
+                     "no change of \"" + std::string(key) + "\""});
+}
+
+result<stored_object> http_object_store::ReadObject(store_request request,
+                                                    int absent_status,
+                                                    error absent) const {
   request.max_response_bytes = kMaxObjectBytes;
   result<store_response> response =
       ExchangeHttp(options_, time_source_, request);
   if (!IsOk(response)) {
     return ReadError(ErrorOf(response));
   }
-  if (ValueOf(response).status_code == kNotModified) {
-    return error{error_code::kDeadlineExceeded,
-                 "no change of \"" + std::string(key) + "\""};
+  if (ValueOf(response).status_code == absent_status) {
+    return absent;
   }
   return ToStoredObject(TakeValue(std::move(response)));
 }
--- a/libraries/store/http_object_store.h
+++ b/libraries/store/http_object_store.h
@@ -27,6 +27,12 @@
       std::chrono::milliseconds timeout) override;
 
  private:
+  // Sends `request` and returns the object in the response, or `absent` if its
+  // status is `absent_status`.
+  result<stored_object> ReadObject(store_request request,
+                                   int absent_status,
+                                   error absent) const;
+
   const http_store_options options_;
   const clock& time_source_;
 };
--- a/stand_ins/object_store/main.cc
+++ b/stand_ins/object_store/main.cc
@@ -1,9 +1,10 @@
-#include <csignal>
 #include <cstdint>
 #include <iostream>
 
 #include <gflags/gflags.h>
 
+#include "libraries/base/listening_port.h"
+#include "libraries/base/stop_signals.h"
 #include "stand_ins/object_store/store_server.h"
 
 DEFINE_string(ip, "127.0.0.1", "IP address to listen on");
@@ -17,22 +18,13 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 3;
 
-// Blocks SIGTERM and SIGINT in this thread and all that it starts.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 int Run() {
-  if (FLAGS_port < 0 || FLAGS_port > UINT16_MAX || FLAGS_threads < 1) {
+  if (!IsListeningPort(FLAGS_port) || FLAGS_threads < 1) {
     std::cerr << "stand_in_store: invalid --port or --threads\n";
     return kExitUsage;
   }
-  const sigset_t signals = BlockStopSignals();
+  // Before the first thread starts.
+  const stop_signals signals;
   store_server server({FLAGS_ip, static_cast<std::uint16_t>(FLAGS_port),
                        static_cast<std::size_t>(FLAGS_threads)});
   const result<std::uint16_t> port = server.Start();
@@ -41,8 +33,7 @@
     return kExitCannotListen;
   }
   std::cout << "listening " << FLAGS_ip << ":" << ValueOf(port) << std::endl;
-  int signal_number = 0;
-  sigwait(&signals, &signal_number);
+  signals.Wait();
   server.Stop();
   return kExitSuccess;
 }
--- a/stand_ins/target/main.cc
+++ b/stand_ins/target/main.cc
@@ -3,17 +3,16 @@
 // Exit codes: 0 stopped by SIGTERM or SIGINT, 1 the port or the history file
 // cannot be opened, 2 wrong usage, 3 crashed on request.
 
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <thread>
 
 #include <gflags/gflags.h>
-#include <caf/actor_system.hpp>
-#include <caf/actor_system_config.hpp>
 
-#include "libraries/base/clock.h"
+#include "libraries/base/listening_port.h"
+#include "libraries/base/program_runtime.h"
+#include "libraries/base/stop_signals.h"
 #include "stand_ins/target/target_service.h"
 
 DEFINE_string(name, "target", "name of the target in responses and history");
@@ -37,16 +36,7 @@
 constexpr int kExitUnavailable = 1;
 constexpr int kExitUsage = 2;
 
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
-int Serve(target_service& service, const sigset_t& signals) {
+int Serve(target_service& service, const stop_signals& signals) {
   const std::optional<int> port = service.server().Bind(FLAGS_port);
   if (!port) {
     std::cerr << "cannot listen on port " << FLAGS_port << "\n";
@@ -55,8 +45,7 @@
   std::cout << "listening 127.0.0.1:" << *port << std::endl;
   std::thread server_thread(
       [&service] { service.server().listen_after_bind(); });
-  int signal = 0;
-  sigwait(&signals, &signal);
+  signals.Wait();
   service.Stop();
   server_thread.join();
   service.RecordExit();
@@ -64,28 +53,22 @@
 }
 
 int Main() {
-  // Blocked before any thread starts, so that only sigwait() takes them.
-  const sigset_t signals = BlockStopSignals();
+  // Before the first thread starts.
+  const stop_signals signals;
   const result<work_distributions> distributions =
       ParseWorkDistributions(FLAGS_work);
-  if (!IsOk(distributions) || FLAGS_slots < 1 || FLAGS_backlog < 0) {
-    std::cerr << "wrong value of --work, --slots or --backlog\n";
+  if (!IsOk(distributions) || !IsListeningPort(FLAGS_port) || FLAGS_slots < 1 ||
+      FLAGS_backlog < 0) {
+    std::cerr << "wrong value of --work, --port, --slots or --backlog\n";
     return kExitUsage;
   }
-  std::unique_ptr<json_line_file> history;
-  if (!FLAGS_history.empty()) {
-    result<std::unique_ptr<json_line_file>> opened =
-        json_line_file::Open(FLAGS_history);
-    if (!IsOk(opened)) {
-      std::cerr << ErrorOf(opened).message << "\n";
-      return kExitUnavailable;
-    }
-    history = TakeValue(std::move(opened));
+  result<std::unique_ptr<json_line_file>> history =
+      json_line_file::OpenIfNamed(FLAGS_history);
+  if (!IsOk(history)) {
+    std::cerr << ErrorOf(history).message << "\n";
+    return kExitUnavailable;
   }
-  caf::actor_system_config config;
-  config.set("scheduler.max-threads", 1);
-  caf::actor_system system{config};
-  const runtime_clock time(system.clock());
+  const program_runtime runtime;
   target_options options;
   options.name = FLAGS_name;
   options.slots = static_cast<std::size_t>(FLAGS_slots);
@@ -97,7 +80,8 @@
   options.cold_start_factor = FLAGS_cold_start_factor;
   options.health_lag = std::chrono::milliseconds(FLAGS_health_lag_ms);
   options.load_lag = std::chrono::milliseconds(FLAGS_load_lag_ms);
-  target_service service(options, time, std::move(history));
+  target_service service(options, runtime.time(),
+                         TakeValue(std::move(history)));
   return Serve(service, signals);
 }
 
--- a/utilities/caller_tool/main.cc
+++ b/utilities/caller_tool/main.cc
@@ -10,10 +10,9 @@
 #include <vector>
 
 #include <gflags/gflags.h>
-#include <caf/actor_system.hpp>
-#include <caf/actor_system_config.hpp>
 
 #include "libraries/base/clock.h"
+#include "libraries/base/program_runtime.h"
 #include "libraries/base/random_source.h"
 #include "libraries/caller/caller.h"
 #include "libraries/caller/discovery_cache.h"
@@ -177,10 +176,8 @@
 
 int Run(const std::vector<endpoint>& addresses,
         std::unique_ptr<json_line_file> history) {
-  caf::actor_system_config config;
-  config.set("scheduler.max-threads", 1);
-  caf::actor_system system{config};
-  const runtime_clock time(system.clock());
+  const program_runtime runtime;
+  const clock& time = runtime.time();
   http_transport transport(time,
                            std::chrono::milliseconds(FLAGS_connect_timeout_ms));
   sleeping_retry_timer timer;
@@ -207,17 +204,13 @@
     std::cerr << "wrong value of --organisations, --concurrency or --output\n";
     return kExitUsage;
   }
-  std::unique_ptr<json_line_file> history;
-  if (!FLAGS_history.empty()) {
-    result<std::unique_ptr<json_line_file>> opened =
-        json_line_file::Open(FLAGS_history);
-    if (!IsOk(opened)) {
-      std::cerr << ErrorOf(opened).message << "\n";
-      return kExitNoHistory;
-    }
-    history = TakeValue(std::move(opened));
+  result<std::unique_ptr<json_line_file>> history =
+      json_line_file::OpenIfNamed(FLAGS_history);
+  if (!IsOk(history)) {
+    std::cerr << ErrorOf(history).message << "\n";
+    return kExitNoHistory;
   }
-  return Run(ValueOf(addresses), std::move(history));
+  return Run(ValueOf(addresses), TakeValue(std::move(history)));
 }
 
 }  // namespace
