Compare the two selection policies at the design scale

Change: policy_bench has a third deployment, one average service of the design scale (27 targets, 15 hosts, 5 zones).

--- a/benchmarks/policy_bench/deployments.cc
+++ b/benchmarks/policy_bench/deployments.cc
@@ -23,7 +23,17 @@
       {"outage-status", 14, true, milliseconds(30), 0.01, 15.0},
       {"payments", 14, false, milliseconds(80), 0.02, 8.0},
   };
-  return {echtheid, lakeshore};
+  // One service of average size at the design scale; its set of hosts is larger
+  // than today's, so that each host sees a smaller share of the load.
+  deployment design_scale;
+  design_scale.name = "design-scale";
+  design_scale.zone_latency = milliseconds(1);
+  design_scale.zone_count = 5;
+  design_scale.host_count = 15;
+  design_scale.services = {
+      {"average", 27, true, milliseconds(40), 0.03, 15.0},
+  };
+  return {echtheid, lakeshore, design_scale};
 }
 
 }  // namespace bulrushshore
--- a/benchmarks/policy_bench/deployments.h
+++ b/benchmarks/policy_bench/deployments.h
@@ -33,7 +33,8 @@
   std::vector<bench_service> services;
 };
 
-// Returns the two deployments of design section 1.1.
+// Returns the two deployments of design section 1.1 and a service at the
+// design scale.
 std::vector<deployment> AllDeployments();
 
 }  // namespace bulrushshore
