Report the catalog version in /readyz and count peer bytes

Cause: a run with many hosts needs a cheap way to ask a host for its version, and no figure told how much a host sends to its peers: /status renders every host and service.

--- a/libraries/peer_protocol/websocket_peer_transport.cc
+++ b/libraries/peer_protocol/websocket_peer_transport.cc
@@ -27,6 +27,18 @@
       full_queues_(metrics.GetCounter(
           "peer_frames_not_queued_total",
           "Frames dropped because the connection's queue was full.")),
+      sent_frames_(metrics.GetCounter(
+          "peer_frames_sent_total",
+          "Frames sent to peers, those of handshakes included.")),
+      sent_bytes_(metrics.GetCounter(
+          "peer_bytes_sent_total",
+          "Bytes of these frames, without WebSocket and TCP headers.")),
+      received_frames_(metrics.GetCounter(
+          "peer_frames_received_total",
+          "Frames received from peers, those of handshakes included.")),
+      received_bytes_(metrics.GetCounter(
+          "peer_bytes_received_total",
+          "Bytes of these frames, without WebSocket and TCP headers.")),
       open_connections_(
           metrics.GetGauge("peer_connections", "Open connections to peers.")),
       random_(seeded_random::FromSystemEntropy()),
@@ -123,11 +135,13 @@
   opened.client.emplace(options_.keys, options_.self_id,
                         TakeValue(std::move(nonce)));
   open_connections_.Add(1);
-  engine_.Send(connection, opened.client->Hello());
+  SendCounted(connection, opened.client->Hello());
 }
 
 void websocket_peer_transport::OnMessage(std::uint64_t connection,
                                          const std::string& bytes) {
+  received_frames_.Increment();
+  received_bytes_.Increment(bytes.size());
   std::string peer_id;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -194,7 +208,7 @@
     Refuse(number);
     return;
   }
-  engine_.Send(number, TakeValue(std::move(proof)));
+  SendCounted(number, TakeValue(std::move(proof)));
   engine_.MarkEstablished(number);
   connection.peer_id = connection.client->peer_id();
   connection.is_ready = true;
@@ -211,7 +225,7 @@
       return;
     }
     connection.has_answered_hello = true;
-    engine_.Send(number, TakeValue(std::move(challenge)));
+    SendCounted(number, TakeValue(std::move(challenge)));
     return;
   }
   if (!IsOk(connection.server->OnProof(bytes))) {
@@ -232,7 +246,7 @@
   link.is_ready = true;
   link.backoff = duration(0);
   while (!link.waiting.empty()) {
-    engine_.Send(*link.connection, std::move(link.waiting.front()));
+    SendCounted(*link.connection, std::move(link.waiting.front()));
     link.waiting.pop_front();
   }
   link.waiting_bytes = 0;
@@ -262,8 +276,15 @@
     full_queues_.Increment();
     return error{error_code::kResourceExhausted, "the queue is full"};
   }
-  engine_.Send(number, std::move(frame));
+  SendCounted(number, std::move(frame));
   return OkStatus();
 }
 
+void websocket_peer_transport::SendCounted(connection_id number,
+                                           std::string frame) {
+  sent_frames_.Increment();
+  sent_bytes_.Increment(frame.size());
+  engine_.Send(number, std::move(frame));
+}
+
 }  // namespace bulrushshore
--- a/libraries/peer_protocol/websocket_peer_transport.h
+++ b/libraries/peer_protocol/websocket_peer_transport.h
@@ -94,11 +94,17 @@
   void FlushWaiting(outgoing_link& link);
   void CloseLeastRecentlyUsed();
   status SendOn(connection_id number, std::string frame);
+  // Hands `frame` to the engine and counts it.
+  void SendCounted(connection_id number, std::string frame);
 
   const websocket_transport_options options_;
   const clock& clock_;
   counter& refused_handshakes_;
   counter& full_queues_;
+  counter& sent_frames_;
+  counter& sent_bytes_;
+  counter& received_frames_;
+  counter& received_bytes_;
   gauge& open_connections_;
   peer_frame_listener* listener_ = nullptr;
   mutable std::mutex mutex_;
--- a/services/host_daemon/admin_server.cc
+++ b/services/host_daemon/admin_server.cc
@@ -79,7 +79,9 @@
       "/readyz", [this](const httplib::Request&, httplib::Response& response) {
         const std::vector<std::string> reasons = sources_.unready_reasons();
         response.status = reasons.empty() ? kStatusOk : kStatusUnavailable;
-        SetJson(response, {{"ready", reasons.empty()}, {"reasons", reasons}});
+        SetJson(response, {{"ready", reasons.empty()},
+                           {"reasons", reasons},
+                           {"catalog_version", sources_.catalog_version()}});
       });
   server_->Get("/status",
                [this](const httplib::Request&, httplib::Response& response) {
--- a/services/host_daemon/admin_server.h
+++ b/services/host_daemon/admin_server.h
@@ -1,6 +1,7 @@
 #ifndef SERVICES_HOST_DAEMON_ADMIN_SERVER_H_
 #define SERVICES_HOST_DAEMON_ADMIN_SERVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,6 +27,8 @@
 struct admin_sources {
   // Returns the reasons why the host is not ready; empty if it is ready.
   std::function<std::vector<std::string>()> unready_reasons;
+  // Returns the version of the configuration in force; 0 without one.
+  std::function<std::uint64_t()> catalog_version;
   std::function<nlohmann::json()> status;
   // Releases a request fingerprint that is held back; false if it is unknown.
   std::function<bool(std::string_view fingerprint)> release_fingerprint;
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -132,6 +132,7 @@
         probe_client(kProbeTimeout),
         audit_copies(audit, store, settings.id, incarnation),
         admin({[this] { return UnreadyReasons(); },
+               [this] { return fleet.snapshots().Current()->version; },
                [this] { return DescribeStatus(); },
                [this](std::string_view fingerprint) {
                  return Release(fingerprint);
