Derive the claim budget from the size of the fleet

Cause: each host could make 1.5 claim writes/s and save ten, whatever the size of the fleet: 600 hosts could write 900/s and 6,000 at once, while the store sustains several hundred writes/s for everything. Change: a host takes 100/s divided by the hosts that are not lost, counted at most once a second, at most 10/s, and saves 2 s of it but at least one write. The test of the budget starts from one saved write now, which is stricter than the two it allowed before, and new tests cover the sum over 1, 6, 63 and 600 hosts and the change of the share.

--- a/libraries/proxy/key_claims.cc
+++ b/libraries/proxy/key_claims.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -62,14 +63,21 @@
 
 }  // namespace
 
+double ClaimWritesPerSecond(const key_claims_options& options,
+                            std::size_t hosts) {
+  return std::min(options.maximum_writes_per_second,
+                  options.fleet_writes_per_second / static_cast<double>(hosts));
+}
+
 object_store_key_claims::object_store_key_claims(
     object_store& store,
     const clock& source,
+    const host_directory& directory,
     const key_claims_options& options)
     : store_(store),
       clock_(source),
+      directory_(directory),
       options_(options),
-      saved_writes_(options.write_burst),
       last_refill_(source.Now()) {}
 
 result<idempotency_key> object_store_key_claims::Claim(
@@ -119,11 +127,13 @@
 bool object_store_key_claims::TakeWrite() {
   const std::lock_guard<std::mutex> lock(mutex_);
   const time_point now = clock_.Now();
+  UpdateShare(now);
   const std::chrono::duration<double> elapsed = now - last_refill_;
+  const std::chrono::duration<double> saved_time = options_.saved_time;
   last_refill_ = now;
   saved_writes_ =
-      std::min(options_.write_burst,
-               saved_writes_ + elapsed.count() * options_.writes_per_second);
+      std::min(std::max(1.0, saved_time.count() * writes_per_second_),
+               saved_writes_ + elapsed.count() * writes_per_second_);
   if (saved_writes_ < 1.0) {
     return false;
   }
@@ -131,4 +141,20 @@
   return true;
 }
 
+void object_store_key_claims::UpdateShare(time_point now) {
+  // A copy of 600 records takes longer than a request may be delayed each time.
+  constexpr std::chrono::seconds kCountInterval(1);
+  if (last_count_.has_value() && now - *last_count_ < kCountInterval) {
+    return;
+  }
+  last_count_ = now;
+  const std::vector<host_record> hosts = directory_.Hosts();
+  // A suspected host may still write.
+  const std::ptrdiff_t writers = std::count_if(
+      hosts.begin(), hosts.end(),
+      [](const host_record& host) { return host.state != host_state::kLost; });
+  writes_per_second_ = ClaimWritesPerSecond(
+      options_, static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, writers)));
+}
+
 }  // namespace bulrushshore
--- a/libraries/proxy/key_claims.h
+++ b/libraries/proxy/key_claims.h
@@ -1,12 +1,17 @@
 #ifndef LIBRARIES_PROXY_KEY_CLAIMS_H_
 #define LIBRARIES_PROXY_KEY_CLAIMS_H_
 
+#include <chrono>
+#include <cstddef>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <string_view>
 
 #include "libraries/base/clock.h"
 #include "libraries/base/result.h"
 #include "libraries/idempotency/idempotency_key.h"
+#include "libraries/membership/host_directory.h"
 #include "libraries/store/object_store.h"
 
 namespace bulrushshore {
@@ -27,15 +32,23 @@
 };
 
 struct key_claims_options {
-  // Share of this host in the fleet's budget of 100 writes/s.
-  // FIXME: Derive it from the number of live hosts; 1.5 keeps 63 hosts below
-  // the budget, but not 600.
-  double writes_per_second = 1.5;
-  double write_burst = 10.0;
+  // Writes of all hosts together; a third of the 300 that the store sustains at
+  // the least. Each host takes an equal share.
+  double fleet_writes_per_second = 100.0;
+  // Bounds a host that knows few others, for example just after its start.
+  double maximum_writes_per_second = 10.0;
+  // Unused writes of this long are kept for later, and at least one.
+  duration saved_time = std::chrono::seconds(2);
 };
 
+// Returns the writes per second of one host of a fleet of `hosts`.
+// Precondition: `hosts` > 0. Thread safe.
+double ClaimWritesPerSecond(const key_claims_options& options,
+                            std::size_t hosts);
+
 // Keeps the bindings as objects "claims/<SHA-256 of the key>" that are created
-// conditionally, so that exactly one incarnation wins. Thread safe.
+// conditionally, so that exactly one incarnation wins. The hosts of `directory`
+// that are not lost share the write budget. Thread safe.
 //
 // FIXME: Nothing removes claims. They may be removed only when no caller sends
 // their keys any more, since a removed key could be bound and run again.
@@ -44,6 +57,7 @@
   // Preconditions: the references outlive this object.
   object_store_key_claims(object_store& store,
                           const clock& source,
+                          const host_directory& directory,
                           const key_claims_options& options);
 
   result<idempotency_key> Claim(std::string_view foreign_key,
@@ -53,12 +67,17 @@
   result<idempotency_key> Read(const std::string& object_key,
                                const std::string& caller_part);
   bool TakeWrite();
+  // Counts the hosts again if that was done long ago. Needs the lock.
+  void UpdateShare(time_point now);
 
   object_store& store_;
   const clock& clock_;
+  const host_directory& directory_;
   const key_claims_options options_;
   std::mutex mutex_;
-  double saved_writes_;
+  double writes_per_second_ = 0.0;
+  std::optional<time_point> last_count_;
+  double saved_writes_ = 1.0;
   time_point last_refill_;
 };
 
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -125,7 +125,7 @@
         targets(system, {settings.id, settings.zone, {}, {}}, audit, metrics),
         keys(system, {}, incarnation),
         fleet({system, store, metrics, audit}, MakeFleetOptions(settings)),
-        claims(store, time_source, {}),
+        claims(store, time_source, fleet.directory(), {}),
         proxy(MakeProxyOptions(settings),
               {fleet.snapshots(), targets, fleet.directory(), keys, claims,
                time_source, metrics, MakeDiscoveryHandler(fleet)}),
--- a/tests/proxy/fakes.h
+++ b/tests/proxy/fakes.h
@@ -98,13 +98,20 @@
  public:
   explicit fake_directory(host_record self) : self_(std::move(self)) {}
 
+  // Known hosts besides this one. Changed only while nobody uses the directory.
+  std::vector<host_record> others;
+
   // Precondition: nobody uses the directory yet.
   void AddOwner(std::string incarnation, host_record owner) {
     owners_.emplace(std::move(incarnation), std::move(owner));
   }
 
   host_record Self() const override { return self_; }
-  std::vector<host_record> Hosts() const override { return {self_}; }
+  std::vector<host_record> Hosts() const override {
+    std::vector<host_record> hosts = {self_};
+    hosts.insert(hosts.end(), others.begin(), others.end());
+    return hosts;
+  }
   std::optional<host_record> FindKeyOwner(
       std::string_view incarnation) const override {
     const auto found = owners_.find(incarnation);
--- a/tests/proxy/key_claims_test.cc
+++ b/tests/proxy/key_claims_test.cc
@@ -19,7 +19,30 @@
 
   scripted_store store_;
   manual_clock clock_;
-  object_store_key_claims claims_{store_, clock_, {1.0, 2.0}};
+  // Makes the fleet `count` hosts large, with one lost host beyond them.
+  void SetFleet(std::size_t count) {
+    host_record other;
+    directory_.others.assign(count - 1, other);
+    other.state = host_state::kLost;
+    directory_.others.push_back(other);
+  }
+
+  // Claims as many new keys as the budget allows now.
+  int ClaimAll() {
+    int claimed = 0;
+    while (IsOk(claims_.Claim("key-" + std::to_string(next_key_), kFirst))) {
+      ++next_key_;
+      ++claimed;
+    }
+    return claimed;
+  }
+
+  int next_key_ = 0;
+  fake_directory directory_{host_record()};
+  object_store_key_claims claims_{store_,
+                                  clock_,
+                                  directory_,
+                                  {1.0, 10.0, std::chrono::seconds(2)}};
 };
 
 // Guards against a key that two incarnations may run.
@@ -30,6 +53,7 @@
   EXPECT_EQ(ValueOf(first), ValueOf(second));
   EXPECT_EQ(ValueOf(first).incarnation, kFirst.incarnation);
   EXPECT_EQ(ValueOf(first).generation, kFirst.generation);
+  clock_.Advance(std::chrono::seconds(1));
   const result<idempotency_key> other = claims_.Claim("order2", kSecond);
   EXPECT_NE(ValueOf(other).caller_part, ValueOf(first).caller_part);
   const std::string text = FormatIdempotencyKey(ValueOf(first));
@@ -40,6 +64,7 @@
 TEST_F(KeyClaimsTest, ResolvesLostReplies) {
   store_.loses_write = true;
   EXPECT_EQ(CodeOf(kFirst), error_code::kUnavailable);
+  clock_.Advance(std::chrono::seconds(1));
   store_.loses_write = false;
   store_.loses_reply = true;
   const result<idempotency_key> bound = claims_.Claim("order", kSecond);
@@ -49,13 +74,54 @@
 
 // Guards against more writes than the store's budget allows.
 TEST_F(KeyClaimsTest, RespectsTheWriteBudget) {
+  // One write is saved at the start, and at most two are later.
+  EXPECT_TRUE(IsOk(claims_.Claim("z", kFirst)));
+  EXPECT_EQ(CodeOf(kFirst), error_code::kResourceExhausted);
+  clock_.Advance(std::chrono::seconds(10));
   EXPECT_TRUE(IsOk(claims_.Claim("a", kFirst)));
   EXPECT_TRUE(IsOk(claims_.Claim("b", kFirst)));
   EXPECT_EQ(CodeOf(kFirst), error_code::kResourceExhausted);
   EXPECT_TRUE(IsOk(claims_.Claim("a", kFirst)));
   clock_.Advance(std::chrono::seconds(1));
   EXPECT_TRUE(IsOk(claims_.Claim("order", kFirst)));
-  EXPECT_EQ(store_.writes, 3);
+  EXPECT_EQ(store_.writes, 4);
+}
+
+// Guards against a budget that grows with the fleet: at 1.5 writes/s a host,
+// 600 hosts would write 900 times a second.
+TEST_F(KeyClaimsTest, HostsShareTheWriteBudget) {
+  const key_claims_options options;
+  for (const std::size_t hosts : {1U, 6U, 63U, 600U}) {
+    const double of_fleet =
+        ClaimWritesPerSecond(options, hosts) * static_cast<double>(hosts);
+    EXPECT_LE(of_fleet, 100.0 + 1e-6) << hosts;
+    if (hosts >= 10) {
+      EXPECT_NEAR(of_fleet, 100.0, 1e-6) << hosts;
+    }
+  }
+  SetFleet(4);
+  EXPECT_EQ(ClaimAll(), 1);
+  clock_.Advance(std::chrono::seconds(3));
+  EXPECT_EQ(ClaimAll(), 0);
+  clock_.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(ClaimAll(), 1);
+}
+
+// Guards against a share that stays as it was when the fleet grows or shrinks.
+TEST_F(KeyClaimsTest, ShareFollowsTheFleet) {
+  EXPECT_EQ(ClaimAll(), 1);
+  SetFleet(100);
+  clock_.Advance(std::chrono::seconds(50));
+  EXPECT_EQ(ClaimAll(), 0);
+  SetFleet(1);
+  clock_.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(ClaimAll(), 1);
+}
+
+// Guards against a new host that knows nobody and takes the whole budget.
+TEST_F(KeyClaimsTest, ShareOfOneHostIsBounded) {
+  EXPECT_EQ(ClaimWritesPerSecond({100.0, 10.0, std::chrono::seconds(2)}, 1),
+            10.0);
 }
 
 // Guards against a damaged claim that is taken for a free key.
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -46,7 +46,7 @@
   fake_directory directory;
   scripted_store store;
   key_owner keys;
-  object_store_key_claims claims{store, time, {}};
+  object_store_key_claims claims{store, time, directory, {}};
   std::unique_ptr<proxy_service> proxy;
 };
 
