Divide a target's connections among the hosts of its service

Cause: every host could open 32 connections to a target whatever the number of hosts that serve the service: 15 hosts of a full-size service could hold 480 connections to a target that accepts 450, and hosts outside the set, which serve callers with an old discovery response, another 32 each. Change: connection_bound gives a host its share of max_connections: three quarters for the hosts of the set that discovery responses name, one quarter for as many others. The bound of 32 stays on top.

--- a/libraries/membership/discovery_response.cc
+++ b/libraries/membership/discovery_response.cc
@@ -75,4 +75,18 @@
   return response.dump();
 }
 
+service_host_set HostSetOf(const std::string& service,
+                           std::string_view host_id,
+                           const std::vector<host_record>& hosts,
+                           const catalog_contents& contents,
+                           const assignment_rules& rules) {
+  const std::vector<host_record> usable = HostsForCallers(hosts);
+  const std::vector<const host_record*> assigned =
+      AssignHosts(service, RegisteredSlots(service, contents), usable, rules);
+  const bool is_member = std::any_of(
+      assigned.begin(), assigned.end(),
+      [host_id](const host_record* host) { return host->id == host_id; });
+  return {assigned.size(), is_member};
+}
+
 }  // namespace bulrushshore
--- a/libraries/membership/discovery_response.h
+++ b/libraries/membership/discovery_response.h
@@ -42,6 +42,21 @@
                                       const catalog_snapshot& catalog,
                                       const discovery_options& options);
 
+// The set of hosts that callers of a service are told.
+struct service_host_set {
+  std::size_t size = 0;
+  // The host in question belongs to it.
+  bool is_member = false;
+};
+
+// Returns the size of the set that DiscoveryResponse() gives for `service` and
+// whether the host `host_id` belongs to it. Thread safe.
+service_host_set HostSetOf(const std::string& service,
+                           std::string_view host_id,
+                           const std::vector<host_record>& hosts,
+                           const catalog_contents& contents,
+                           const assignment_rules& rules);
+
 }  // namespace bulrushshore
 
 #endif  // LIBRARIES_MEMBERSHIP_DISCOVERY_RESPONSE_H_
--- a/libraries/membership/host_assignment.cc
+++ b/libraries/membership/host_assignment.cc
@@ -69,4 +69,17 @@
   return assigned;
 }
 
+connection_shares ShareConnections(std::uint32_t max_connections,
+                                   std::size_t members) {
+  constexpr std::uint32_t kPartsOfMembers = 3;
+  constexpr std::uint32_t kParts = 4;
+  const std::uint32_t divisor =
+      static_cast<std::uint32_t>(std::max<std::size_t>(1, members));
+  const std::uint32_t for_members = static_cast<std::uint32_t>(
+      std::uint64_t{max_connections} * kPartsOfMembers / kParts);
+  const std::uint32_t for_others = max_connections - for_members;
+  return {std::max(1U, for_members / divisor),
+          std::max(1U, for_others / divisor)};
+}
+
 }  // namespace bulrushshore
--- a/libraries/membership/host_assignment.h
+++ b/libraries/membership/host_assignment.h
@@ -40,6 +40,21 @@
     const std::vector<host_record>& hosts,
     const assignment_rules& rules);
 
+// Connections that a host may hold to one target of a service.
+struct connection_shares {
+  // A host of the service's set.
+  std::uint32_t of_member = 0;
+  // Any other host, which serves callers with an old discovery response.
+  std::uint32_t of_other = 0;
+};
+
+// Divides the connections of a target: three quarters among the `members` hosts
+// of the service's set, the rest among as many other hosts, so that the target
+// is not overrun when the whole set has just been replaced. At least one each.
+// Thread safe.
+connection_shares ShareConnections(std::uint32_t max_connections,
+                                   std::size_t members);
+
 }  // namespace bulrushshore
 
 #endif  // LIBRARIES_MEMBERSHIP_HOST_ASSIGNMENT_H_
--- a/libraries/proxy/attempt_runner.cc
+++ b/libraries/proxy/attempt_runner.cc
@@ -51,10 +51,12 @@
 attempt_runner::attempt_runner(const retry_options& options,
                                dispatcher& targets,
                                target_client& client,
+                               connection_bound& bound,
                                const clock& source)
     : options_(options),
       dispatcher_(targets),
       client_(client),
+      bound_(bound),
       clock_(source),
       random_(seeded_random::FromSystemEntropy()) {}
 
@@ -112,7 +114,7 @@
   request.message = given.message;
   request.deadline = given.deadline;
   request.needs_new_connection = !given.is_idempotent;
-  request.max_connections = granted.chosen.max_connections;
+  request.max_connections = bound_.Of(granted.chosen);
   // Work that may not be repeated runs to its end, so that its response can
   // be kept for a retry.
   request.cancel_socket = given.is_idempotent ? given.caller_socket : kNoSocket;
--- a/libraries/proxy/attempt_runner.h
+++ b/libraries/proxy/attempt_runner.h
@@ -11,6 +11,7 @@
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
 #include "libraries/dispatch/dispatcher.h"
+#include "libraries/proxy/connection_bound.h"
 #include "libraries/proxy/http_message.h"
 #include "libraries/proxy/outcome.h"
 #include "libraries/proxy/target_client.h"
@@ -57,6 +58,7 @@
   attempt_runner(const retry_options& options,
                  dispatcher& targets,
                  target_client& client,
+                 connection_bound& bound,
                  const clock& source);
 
   // Blocks until the outcome is certain, at most until the deadline.
@@ -91,6 +93,7 @@
   const retry_options options_;
   dispatcher& dispatcher_;
   target_client& client_;
+  connection_bound& bound_;
   const clock& clock_;
   std::mutex random_mutex_;
   seeded_random random_;
--- a/libraries/proxy/proxy_service.h
+++ b/libraries/proxy/proxy_service.h
@@ -12,6 +12,7 @@
 #include "libraries/membership/host_directory.h"
 #include "libraries/proxy/attempt_runner.h"
 #include "libraries/proxy/caller_server.h"
+#include "libraries/proxy/connection_bound.h"
 #include "libraries/proxy/key_claims.h"
 #include "libraries/proxy/keyed_runner.h"
 #include "libraries/proxy/request_accounting.h"
@@ -69,6 +70,7 @@
  private:
   routed_snapshot_cache configuration_;
   target_client client_;
+  connection_bound bound_;
   attempt_runner attempts_;
   keyed_runner keyed_;
   request_accounting accounting_;
