Ask every peer for its version at a cold start

Cause: a new host without the store took the highest version of the first 64 peers that it asked. In a larger fleet it could start with an older version than the host that it replaces had, which is a revert. The 64 questions were also more than the 48 connections that a host opens to its peers. Change: hosts that were not asked yet are asked as answers arrive, 32 at a time, and the highest version is taken when none is left.

--- a/libraries/configuration/configuration_actor.cc
+++ b/libraries/configuration/configuration_actor.cc
@@ -13,8 +13,9 @@
 
 constexpr std::chrono::seconds kSliceTimeout(2);
 constexpr std::chrono::seconds kVersionQueryTimeout(2);
-// Bounds what a cold start of many hosts at once asks of the others.
-constexpr std::size_t kMaxOpenQuestions = 64;
+// Bounds what a cold start of many hosts at once asks of the others, and stays
+// below the number of connections that a host opens to its peers.
+constexpr std::size_t kMaxOpenQuestions = 32;
 
 }  // namespace
 
@@ -61,9 +62,7 @@
 void configuration_actor::Tick() {
   delayed_send(this, arguments_.options.tick_interval, configuration_tick());
   WatchStoreIfDue();
-  if (keeper_.version() == 0) {
-    AskPeersAtColdStart();
-  }
+  ContinueColdStart();
 }
 
 void configuration_actor::WatchStoreIfDue() {
@@ -106,6 +105,24 @@
   WatchStoreIfDue();
 }
 
+void configuration_actor::ContinueColdStart() {
+  if (keeper_.version() != 0 || pull_.has_value()) {
+    return;
+  }
+  AskPeersAtColdStart();
+  if (open_questions_ > 0) {
+    return;
+  }
+  // All were asked once; those that did not answer, or had nothing, are asked
+  // again at a later tick.
+  asked_peers_.clear();
+  if (best_answer_.has_value()) {
+    const configuration_peer_version best = *best_answer_;
+    best_answer_.reset();
+    StartPull(best.peer, best.version);
+  }
+}
+
 void configuration_actor::AskPeersAtColdStart() {
   const std::shared_ptr<const membership_snapshot> membership =
       arguments_.membership->Get();
@@ -142,17 +159,8 @@
       best_answer_ = configuration_peer_version{answer.peer, reply->version};
     }
   }
-  if (open_questions_ > 0 || keeper_.version() != 0) {
-    return;
-  }
-  // All were asked once; those that did not answer, or had nothing, are asked
-  // again at a later tick.
-  asked_peers_.clear();
-  if (best_answer_.has_value()) {
-    const configuration_peer_version best = *best_answer_;
-    best_answer_.reset();
-    StartPull(best.peer, best.version);
-  }
+  // Hosts beyond the bound of open questions are asked next.
+  ContinueColdStart();
 }
 
 void configuration_actor::HandlePeerVersion(const endpoint& peer,
--- a/libraries/configuration/configuration_actor.h
+++ b/libraries/configuration/configuration_actor.h
@@ -78,6 +78,9 @@
   void Tick();
   void WatchStoreIfDue();
   void HandleStoreAnswer(const store_reading& reading);
+  // Without a configuration: asks the peers that were not asked yet, and takes
+  // the highest version once all have answered.
+  void ContinueColdStart();
   void AskPeersAtColdStart();
   void HandleVersionAnswer(const configuration_version_answer& answer);
   void HandlePeerVersion(const endpoint& peer, std::uint64_t version);
--- a/tests/fleet/configuration_test.cc
+++ b/tests/fleet/configuration_test.cc
@@ -85,6 +85,64 @@
   EXPECT_EQ(fleet_.at(4).versions, (std::vector<std::uint64_t>{1}));
 }
 
+// Guards against a new host that asks only its seed, which is cut off from the
+// others and has an old version: the host would go back to it.
+TEST_F(ConfigurationTest, ColdStartAsksMoreHostsThanTheSeed) {
+  in_memory_object_store unreachable;
+  unreachable.SetOutage(true);
+  StartHosts(4);
+  fleet_.Publish("archive", 0);
+  RunUntilVersion(1);
+  fleet_.at(0).is_store_paused = true;
+  for (std::size_t index = 1; index < 4; ++index) {
+    fleet_.network().Cut(agent_fleet::PeerAddress(0),
+                         agent_fleet::PeerAddress(index));
+    fleet_.network().Cut(agent_fleet::PeerAddress(index),
+                         agent_fleet::PeerAddress(0));
+  }
+  fleet_.Publish("photo", 1);
+  fleet_.Run(kMinute, [this] { return fleet_.VersionOf(3) == 2; });
+  fleet_.StartHost(4, &unreachable);
+  EXPECT_LT(fleet_.Run(kMinute, [this] { return fleet_.VersionOf(4) != 0; }),
+            std::chrono::seconds(10));
+  EXPECT_EQ(fleet_.VersionOf(4), 2U);
+}
+
+// Guards against a new host that takes the highest version of the first hosts
+// that it asks, while a later one has a higher version.
+TEST_F(ConfigurationTest, ColdStartAsksEveryHostOfALargeFleet) {
+  constexpr std::size_t kHosts = 70;
+  in_memory_object_store unreachable;
+  unreachable.SetOutage(true);
+  configuration_options options;
+  options.watch_all_limit = kHosts;
+  for (std::size_t index = 0; index < kHosts; ++index) {
+    fleet_.StartHost(index, nullptr, options);
+  }
+  fleet_.Publish("archive", 0);
+  RunUntilVersion(1);
+  fleet_.Run(std::chrono::seconds(20));
+  // The last host by name is the only one that hears of the next version.
+  for (std::size_t index = 0; index < kHosts; ++index) {
+    fleet_.at(index).is_store_paused = true;
+  }
+  const std::size_t informed = 9;
+  for (std::size_t index = 0; index < kHosts; ++index) {
+    if (index != informed) {
+      fleet_.network().Cut(agent_fleet::PeerAddress(informed),
+                           agent_fleet::PeerAddress(index));
+    }
+  }
+  fleet_.Publish("photo", 1);
+  fleet_.at(informed).is_store_paused = false;
+  fleet_.Run(std::chrono::seconds(1),
+             [this, informed] { return fleet_.VersionOf(informed) == 2; });
+  ASSERT_EQ(fleet_.VersionOf(informed), 2U);
+  fleet_.StartHost(kHosts, &unreachable);
+  fleet_.Run(kMinute, [this] { return fleet_.VersionOf(kHosts) != 0; });
+  EXPECT_EQ(fleet_.VersionOf(kHosts), 2U);
+}
+
 // Guards against an old head of a stale replica, or a late watch event, that
 // reverts a host.
 TEST_F(ConfigurationTest, StaleStoreRevertsNobody) {
