Bound the nesting of all CBOR that hosts read

Cause: the CBOR reader of nlohmann-json recurses per nested container and per piece of a text of indefinite length. The host-to-host codec bounded containers only, with a check that recursed itself, and the parts of a hand-over were read without a check. A peer could end a host with 20,000 bytes. Besides, a hand-over could state generations whose start overflows the clock, keys of generations after its own (dropped as expired and later taken as new), and an incarnation twice; a repeated key was counted twice against the bound of stored responses. A claim object could bind a key to an owner name that no key can have. Change: IsBoundedCbor moves from catalog to base and guards both readers. The decoder of hand-overs refuses generations out of range and repeated incarnations, Import() counts a repeated key once, and claims with an invalid owner are faulty. Conclusion: input from the wire reaches the recursive reader only after the check.

--- a/libraries/catalog/cbor_check.cc
+++ b/libraries/base/cbor_check.cc
@@ -1,4 +1,4 @@
-#include "libraries/catalog/cbor_check.h"
+#include "libraries/base/cbor_check.h"
 
 #include <cstdint>
 #include <optional>
--- a/libraries/catalog/cbor_check.h
+++ b/libraries/base/cbor_check.h
@@ -1,5 +1,5 @@
-#ifndef LIBRARIES_CATALOG_CBOR_CHECK_H_
-#define LIBRARIES_CATALOG_CBOR_CHECK_H_
+#ifndef LIBRARIES_BASE_CBOR_CHECK_H_
+#define LIBRARIES_BASE_CBOR_CHECK_H_
 
 #include <string_view>
 
@@ -19,4 +19,4 @@
 
 }  // namespace bulrushshore
 
-#endif  // LIBRARIES_CATALOG_CBOR_CHECK_H_
+#endif  // LIBRARIES_BASE_CBOR_CHECK_H_
--- a/libraries/catalog/cbor_record.cc
+++ b/libraries/catalog/cbor_record.cc
@@ -1,6 +1,6 @@
 #include "libraries/catalog/cbor_record.h"
 
-#include "libraries/catalog/cbor_check.h"
+#include "libraries/base/cbor_check.h"
 
 namespace bulrushshore {
 
--- a/libraries/idempotency/handover.cc
+++ b/libraries/idempotency/handover.cc
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libraries/base/cbor_check.h"
+
 namespace bulrushshore {
 namespace {
 
@@ -16,6 +18,9 @@
 constexpr std::size_t kSmallestPartBytes = 1024;
 // Room for the fields of a part beside its entries.
 constexpr std::size_t kPartOverheadBytes = 256;
+// 19 years of 60 s steps. The start of an incarnation is computed from its
+// generation, which must not overflow the clock.
+constexpr std::uint64_t kMaxGeneration = 10'000'000;
 
 struct open_part {
   std::size_t incarnation_index = 0;
@@ -112,10 +117,46 @@
   return key;
 }
 
+void CheckGeneration(std::uint64_t generation, std::uint64_t maximum) {
+  if (generation > maximum) {
+    throw std::invalid_argument("a generation is out of range");
+  }
+}
+
+incarnation_export DecodeIncarnation(const json& part) {
+  incarnation_export decoded;
+  decoded.incarnation = part.at("incarnation").get<std::string>();
+  decoded.generation = part.at("generation").get<std::uint64_t>();
+  decoded.last_issued_generation = part.at("last_issued").get<std::uint64_t>();
+  CheckGeneration(decoded.generation, kMaxGeneration);
+  return decoded;
+}
+
+// Returns the incarnation that the entries of `part` belong to. The parts of
+// one incarnation follow each other.
+incarnation_export& FindOrAddIncarnation(const json& part, handover& value) {
+  incarnation_export decoded = DecodeIncarnation(part);
+  for (const incarnation_export& known : value.incarnations) {
+    const bool is_last = &known == &value.incarnations.back();
+    if (!is_last && known.incarnation == decoded.incarnation) {
+      throw std::invalid_argument("an incarnation is repeated");
+    }
+  }
+  if (value.incarnations.empty() ||
+      value.incarnations.back().incarnation != decoded.incarnation) {
+    value.incarnations.push_back(std::move(decoded));
+  }
+  return value.incarnations.back();
+}
+
 // Throws the library's exceptions for faulty input.
 handover DecodeParts(std::span<const std::string> parts) {
   std::map<std::size_t, json> by_number;
   for (const std::string& part : parts) {
+    // The library's reader recurses, so the nesting is bounded first.
+    if (!IsBoundedCbor(part)) {
+      throw std::invalid_argument("a part is no CBOR, or nested too deeply");
+    }
     json decoded = json::from_cbor(part);
     const bool is_expected =
         decoded.at("v").get<int>() == kFormatVersion &&
@@ -131,18 +172,11 @@
   }
   handover value;
   for (const std::map<std::size_t, json>::value_type& part : by_number) {
-    const std::string incarnation =
-        part.second.at("incarnation").get<std::string>();
-    if (value.incarnations.empty() ||
-        value.incarnations.back().incarnation != incarnation) {
-      value.incarnations.push_back(
-          {incarnation,
-           part.second.at("generation").get<std::uint64_t>(),
-           part.second.at("last_issued").get<std::uint64_t>(),
-           {}});
-    }
+    incarnation_export& incarnation = FindOrAddIncarnation(part.second, value);
     for (const json& key : part.second.at("entries")) {
-      value.incarnations.back().entries.push_back(DecodeKey(key));
+      incarnation.entries.push_back(DecodeKey(key));
+      CheckGeneration(incarnation.entries.back().generation,
+                      incarnation.generation);
     }
   }
   return value;
--- a/libraries/idempotency/idempotency_table.cc
+++ b/libraries/idempotency/idempotency_table.cc
@@ -157,13 +157,16 @@
                                 limits_.generation_length;
   incarnation.last_issued_generation = received.last_issued_generation;
   for (const exported_key& key : received.entries) {
-    entry imported{key.state, key.fingerprint, nullptr};
-    if (key.state == key_state::kAnswered) {
-      StoreResponse(imported, key.response);
-    }
     entries_by_caller_part& entries = incarnation.generations[key.generation];
-    if (entries.emplace(key.caller_part, std::move(imported)).second) {
-      ++entry_count_;
+    const std::pair<entries_by_caller_part::iterator, bool> added =
+        entries.emplace(key.caller_part,
+                        entry{key.state, key.fingerprint, nullptr});
+    if (!added.second) {
+      continue;
+    }
+    ++entry_count_;
+    if (key.state == key_state::kAnswered) {
+      StoreResponse(added.first->second, key.response);
     }
   }
 }
--- a/libraries/peer_protocol/message_fields.cc
+++ b/libraries/peer_protocol/message_fields.cc
@@ -4,45 +4,15 @@
 #include <charconv>
 #include <utility>
 
+#include "libraries/base/cbor_check.h"
 #include "libraries/base/random_source.h"
 
 namespace bulrushshore {
 namespace {
 
-constexpr std::size_t kMaxNesting = 8;
 constexpr std::size_t kMaxIdentifierBytes = 64;
 constexpr std::size_t kMaxEndpointBytes = 64;
 
-// Accepts every value up to the nesting bound and keeps nothing.
-class nesting_check : public nlohmann::json_sax<nlohmann::json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxNesting; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxNesting; }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::json::exception&) override {
-    return false;
-  }
-
- private:
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-
-  std::size_t depth_ = 0;
-};
-
 const nlohmann::json& EmptyArray() {
   static const nlohmann::json kEmpty = nlohmann::json::array();
   return kEmpty;
@@ -56,9 +26,7 @@
 }  // namespace
 
 result<nlohmann::json> ParseBoundedCbor(std::string_view bytes) {
-  nesting_check check;
-  if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &check,
-                                 nlohmann::json::input_format_t::cbor)) {
+  if (!IsBoundedCbor(bytes)) {
     return error{error_code::kInvalidArgument,
                  "not a CBOR value, or nested too deeply"};
   }
--- a/libraries/proxy/key_claims.cc
+++ b/libraries/proxy/key_claims.cc
@@ -49,10 +49,14 @@
       !decoded["generation"].is_number_unsigned()) {
     return faulty;
   }
-  return idempotency_key{decoded["host"].get<std::string>(),
-                         decoded["incarnation"].get<std::string>(),
-                         decoded["generation"].get<std::uint64_t>(),
-                         caller_part};
+  idempotency_key bound{decoded["host"].get<std::string>(),
+                        decoded["incarnation"].get<std::string>(),
+                        decoded["generation"].get<std::uint64_t>(),
+                        caller_part};
+  if (!IsOk(ParseIdempotencyKey(FormatIdempotencyKey(bound)))) {
+    return faulty;
+  }
+  return bound;
 }
 
 error Unavailable() {
--- a/tests/idempotency/handover_test.cc
+++ b/tests/idempotency/handover_test.cc
@@ -57,6 +57,29 @@
             key_state::kResponseNotKept);
 }
 
+// Guards against input that exhausts the stack of the recursive reader.
+TEST(HandoverTest, RejectsDeeplyNestedParts) {
+  const std::vector<std::string> parts = {std::string(500'000, '\x81')};
+  EXPECT_FALSE(IsOk(DecodeHandover(parts)));
+}
+
+// Guards against generations whose start overflows the clock, and against keys
+// that expire before their generation has come.
+TEST(HandoverTest, RejectsGenerationsOutOfRange) {
+  handover sent = MakeHandover(1, 10);
+  sent.incarnations[0].generation = UINT64_MAX;
+  EXPECT_FALSE(IsOk(DecodeHandover(EncodeHandover(sent, kPartBytes))));
+  sent.incarnations[0].generation = 3;
+  EXPECT_FALSE(IsOk(DecodeHandover(EncodeHandover(sent, kPartBytes))));
+}
+
+// Guards against a second start time for keys that were taken over.
+TEST(HandoverTest, RejectsRepeatedIncarnations) {
+  handover sent = MakeHandover(1, 10);
+  sent.incarnations.push_back(sent.incarnations[0]);
+  EXPECT_FALSE(IsOk(DecodeHandover(EncodeHandover(sent, kPartBytes))));
+}
+
 // Guards against a partial hand-over, whose missing keys would run again.
 TEST(HandoverTest, RejectsMissingRepeatedAndFaultyParts) {
   const std::vector<std::string> parts =
--- a/tests/peer_protocol/message_codec_test.cc
+++ b/tests/peer_protocol/message_codec_test.cc
@@ -118,6 +118,9 @@
             error_code::kResourceExhausted);
   // 0x81 starts an array of one element.
   EXPECT_FALSE(IsOk(DecodeMessage(std::string(kMaxFrameBytes, '\x81'))));
+  // 0x7f starts a text of indefinite length, whose pieces the library reads
+  // recursively.
+  EXPECT_FALSE(IsOk(DecodeMessage(std::string(kMaxFrameBytes, '\x7f'))));
   nlohmann::json long_slice = EncodedJson(SampleBodies()[7]);
   long_slice["body"]["total"] = kMaxFrameBytes;
   long_slice["body"]["bytes"] =
--- a/tests/proxy/key_claims_test.cc
+++ b/tests/proxy/key_claims_test.cc
@@ -61,8 +61,13 @@
 // Guards against a damaged claim that is taken for a free key.
 TEST_F(KeyClaimsTest, RejectsFaultyClaims) {
   ASSERT_TRUE(IsOk(claims_.Claim("order", kFirst)));
-  store_.objects.begin()->second.value = "{}";
-  EXPECT_EQ(CodeOf(kSecond), error_code::kUnavailable);
+  for (const char* const faulty :
+       {"{}",
+        R"({"generation":3,"host":"A.b","incarnation":"00000000000000aa"})",
+        R"({"generation":3,"host":"host-a","incarnation":"00AA"})"}) {
+    store_.objects.begin()->second.value = faulty;
+    EXPECT_EQ(CodeOf(kSecond), error_code::kUnavailable) << faulty;
+  }
 }
 
 }  // namespace
