Give a key table to one process of the successor only

A hand-over is addressed to a host, and its slices are repeated while answers are lost. If the successor took the table, ran a key that was not in it and crashed, the process that started at the same address took the repeated table, announced itself and could run the same key again. A refusal by that process was also reported as if no process had taken the table, so that another successor could have been chosen. Change: the message names the successor's incarnation, and a process refuses tables for another one. A refusal after a slice without an answer is kUnknownEffect instead of kPermissionDenied. Tables from senders without the field are refused, which leaves their keys `unknown`. Before: HandoverTest.RestartedSuccessorTakesNoRepeatedTable fails, the sender is told that the restarted host took the table. Conclusion: at most one process run can answer for an incarnation after its graceful stop, also if the successor restarts.

--- a/libraries/fleet/fleet_agent.cc
+++ b/libraries/fleet/fleet_agent.cc
@@ -70,7 +70,8 @@
         store_executor(
             ExecutorOrThread(std::move(replacements.store_executor))),
         import_executor(
-            ExecutorOrThread(std::move(replacements.import_executor))) {}
+            ExecutorOrThread(std::move(replacements.import_executor))),
+        receiver(options.incarnation) {}
 
   void Connect(const dependencies& dependencies);
   void OnHandover(const peer_request& request);
@@ -271,7 +272,7 @@
   SendHandover(
       core_->messenger, eligible[0]->peer_address,
       {snapshot->self.incarnation, snapshot->self.inherited_incarnations,
-       JoinHandoverParts(parts)},
+       eligible[0]->incarnation, JoinHandoverParts(parts)},
       std::move(done));
 }
 
--- a/libraries/membership/key_handover.cc
+++ b/libraries/membership/key_handover.cc
@@ -36,6 +36,7 @@
     handover_message message;
     message.incarnation = contents_.incarnation;
     message.inherited_incarnations = contents_.inherited_incarnations;
+    message.successor = contents_.successor;
     message.total_bytes = contents_.bytes.size();
     message.offset = offset_;
     message.bytes = contents_.bytes.substr(offset_, kMaxSliceBytes);
@@ -61,7 +62,10 @@
       return;
     }
     if (!ack->is_accepted) {
-      done_(error{error_code::kPermissionDenied,
+      // After a slice without an answer the refusal may come from another
+      // process at the address of the one that took the keys.
+      done_(error{may_be_taken_ ? error_code::kUnknownEffect
+                                : error_code::kPermissionDenied,
                   "the successor refused the keys"});
       return;
     }
@@ -82,9 +86,10 @@
 
   void OnFailure(const error& fault) {
     // The transport fails a frame with these codes before it sends a byte.
-    was_sent_ = was_sent_ || messenger_->is_stopped() ||
-                (fault.code != error_code::kUnavailable &&
-                 fault.code != error_code::kResourceExhausted);
+    may_be_taken_ = may_be_taken_ || messenger_->is_stopped() ||
+                    (fault.code != error_code::kUnavailable &&
+                     fault.code != error_code::kResourceExhausted);
+    was_sent_ = was_sent_ || may_be_taken_;
     if (attempts_ >= kAttemptsPerSlice || messenger_->is_stopped()) {
       const error_code code =
           was_sent_ ? error_code::kUnknownEffect : error_code::kUnavailable;
@@ -102,6 +107,8 @@
   std::uint64_t offset_ = 0;
   std::uint32_t attempts_ = 0;
   bool was_sent_ = false;
+  // A slice was sent and stayed without an answer.
+  bool may_be_taken_ = false;
 };
 
 }  // namespace
@@ -143,10 +150,16 @@
       ->SendSlice();
 }
 
+handover_receiver::handover_receiver(std::string incarnation)
+    : incarnation_(std::move(incarnation)) {}
+
 handover_receiver::outcome handover_receiver::OnSlice(
     const handover_message& message,
     bool accepts_new,
     time_point now) {
+  if (message.successor != incarnation_) {
+    return {handover_ack_message{message.incarnation, false, 0, false}, {}};
+  }
   const std::lock_guard<std::mutex> lock(mutex_);
   transfer* found = FindOrBegin(message, accepts_new, now);
   const bool is_refused = found == nullptr ||
@@ -205,6 +218,7 @@
   transfer& begun = transfers_[message.incarnation];
   begun.contents.incarnation = message.incarnation;
   begun.contents.inherited_incarnations = message.inherited_incarnations;
+  begun.contents.successor = message.successor;
   begun.total_bytes = message.total_bytes;
   return &begun;
 }
--- a/libraries/membership/key_handover.h
+++ b/libraries/membership/key_handover.h
@@ -28,14 +28,16 @@
   std::string incarnation;
   // Incarnations whose keys the host had inherited itself.
   std::vector<std::string> inherited_incarnations;
+  // Incarnation of the one process that may take the keys.
+  std::string successor;
   // At most kMaxHandoverBytes.
   std::string bytes;
 };
 
 // Called once: without an error when the successor answers for the keys;
 // kPermissionDenied if it refused, and kUnavailable if nothing could be sent to
-// it, so that another one may be chosen; kUnknownEffect if it fell silent, in
-// which case no other one may be chosen.
+// it, so that another one may be chosen; kUnknownEffect if a slice stayed
+// without an answer, in which case no other one may be chosen.
 using handover_done = std::function<void(const status&)>;
 
 // Sends `contents` in slices to the host at `successor`, and repeats slices
@@ -49,6 +51,10 @@
 // Assembles the tables that hosts hand over to this one. Thread safe.
 class handover_receiver {
  public:
+  // `incarnation` is that of this process. Tables for other ones, such as a
+  // former process at this address, are refused.
+  explicit handover_receiver(std::string incarnation);
+
   // What has to happen after a slice was taken.
   struct outcome {
     // The answer to be sent now, if any.
@@ -85,6 +91,7 @@
                         time_point now);
   void ForgetIdle(time_point now);
 
+  const std::string incarnation_;
   std::mutex mutex_;
   std::map<std::string, transfer> transfers_;
 };
--- a/libraries/peer_protocol/message_codec.cc
+++ b/libraries/peer_protocol/message_codec.cc
@@ -158,6 +158,7 @@
 nlohmann::json EncodeBody(const handover_message& body) {
   return {{"incarnation", IncarnationNumber(body.incarnation)},
           {"inherited", EncodeIncarnations(body.inherited_incarnations)},
+          {"successor", IncarnationNumber(body.successor)},
           {"total", body.total_bytes},
           {"offset", body.offset},
           {"bytes", BinaryField(body.bytes)}};
@@ -167,6 +168,7 @@
   body.incarnation = fields.Incarnation("incarnation");
   body.inherited_incarnations =
       fields.Incarnations("inherited", kMaxInheritedIncarnations);
+  body.successor = fields.Incarnation("successor");
   body.total_bytes = fields.UnsignedUpTo("total", kMaxHandoverBytes);
   body.offset = fields.UnsignedUpTo("offset", body.total_bytes);
   body.bytes = fields.Binary("bytes", kMaxSliceBytes);
--- a/libraries/peer_protocol/messages.h
+++ b/libraries/peer_protocol/messages.h
@@ -119,6 +119,9 @@
   std::string incarnation;
   // Incarnations whose keys the sender had inherited itself.
   std::vector<std::string> inherited_incarnations;
+  // Incarnation of the successor. Another process at its address must not take
+  // the table, because the successor may have run keys that are not in it.
+  std::string successor;
   std::uint64_t total_bytes = 0;
   std::uint64_t offset = 0;
   std::string bytes;
--- a/tests/fleet/handover_test.cc
+++ b/tests/fleet/handover_test.cc
@@ -89,6 +89,26 @@
   EXPECT_EQ(fleet_.at(0).imported.size(), 1U);
 }
 
+// Guards against a key that runs twice: the first process may have run keys of
+// the table, which the next process at the same address does not know.
+TEST_F(HandoverTest, RestartedSuccessorTakesNoRepeatedTable) {
+  CutAnswers();
+  HandOver({"table"});
+  fleet_.Run(std::chrono::seconds(3));
+  ASSERT_EQ(fleet_.at(0).imported.size(), 1U);
+  fleet_.StopHost(0);
+  fleet_.StartHost(0);
+  fleet_.network().Restore(agent_fleet::PeerAddress(0),
+                           agent_fleet::PeerAddress(3));
+  fleet_.Run(kMinute, [this] { return IsDone(); });
+  ASSERT_TRUE(IsDone() && !IsOk(*outcome_));
+  EXPECT_EQ(ErrorOf(*outcome_).code, error_code::kUnknownEffect);
+  EXPECT_TRUE(fleet_.at(0).imported.empty());
+  // Until then others may still hold the record of the first process.
+  fleet_.Run(std::chrono::seconds(20));
+  EXPECT_NE(OwnerSeenBy(1), "host-0");
+}
+
 // Guards against a successor that announces keys which it did not take.
 TEST_F(HandoverTest, FailedImportIsRefusedAndNotAnnounced) {
   fleet_.at(0).refuses_imports = true;
--- a/tests/peer_protocol/message_codec_test.cc
+++ b/tests/peer_protocol/message_codec_test.cc
@@ -39,8 +39,12 @@
   reply.wanted_ids = {"host-2"};
   parts_reply_message parts{"abc", true, 4,
                             10,    6,    std::string("\0\xff\x01z", 4)};
-  handover_message handover{
-      "00000000000000ff", {"00000000000000aa"}, 3, 0, "xyz"};
+  handover_message handover{"00000000000000ff",
+                            {"00000000000000aa"},
+                            "00000000000000bb",
+                            3,
+                            0,
+                            "xyz"};
   return {ping_message{},
           ping_reply_message{},
           digest,
