--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -11,6 +11,16 @@
                          -fno-sanitize-recover=all -fno-sanitize=null -fno-omit-frame-pointer)
   target_link_options(bulrushshore_options INTERFACE -fsanitize=address,undefined)
 endif()
+if(BULRUSHSHORE_FUZZ)
+  # The ignorelist names the one header of CAF 0.17.6 that binds a null
+  # reference.
+  target_compile_options(
+    bulrushshore_options
+    INTERFACE -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all
+              -fsanitize-ignorelist=${PROJECT_SOURCE_DIR}/tests/fuzz/sanitizer_ignorelist.txt
+              -fno-omit-frame-pointer)
+  target_link_options(bulrushshore_options INTERFACE -fsanitize=address,undefined)
+endif()
 
 # bulrushshore_library(name SOURCES ... DEPENDS ... PRIVATE_DEPENDS ...)
 function(bulrushshore_library name)
@@ -42,3 +52,14 @@
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
+
+# bulrushshore_fuzz_target(name DEPENDS ...): the libFuzzer target of the source
+# "<name>_fuzzer.cc"; its corpus is the folder corpus/<name>.
+function(bulrushshore_fuzz_target name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  add_executable(${name}_fuzzer ${name}_fuzzer.cc)
+  target_link_libraries(${name}_fuzzer PRIVATE bulrushshore_options ${ARG_DEPENDS})
+  target_link_options(${name}_fuzzer PRIVATE -fsanitize=fuzzer)
+  set_target_properties(${name}_fuzzer PROPERTIES RUNTIME_OUTPUT_DIRECTORY
+                                                  ${CMAKE_BINARY_DIR}/fuzz)
+endfunction()
