--- a/utilities/caller_tool/main.cc
+++ b/utilities/caller_tool/main.cc
@@ -35,6 +35,11 @@
               "idempotent",
               "when a single request may be repeated: idempotent, keyed, once");
 DEFINE_string(key, "", "key of an earlier call for the same work");
+DEFINE_string(body,
+              "",
+              "body of a single request that is not idempotent; equal bodies "
+              "make the same work");
+DEFINE_string(header, "", "further header of a single request as NAME:VALUE");
 DEFINE_string(organisation, "", "organisation of a single request");
 DEFINE_double(rate, 0.0, "arrivals per second; 0 sends a single request");
 DEFINE_double(seconds, 10.0, "length of a load run");
@@ -118,6 +123,28 @@
   return options;
 }
 
+// Applies --key, --body, --header, --organisation and --timeout_ms. Returns
+// false if --header has no name or no value.
+bool ApplyFlags(call_request& request) {
+  request.key = FLAGS_key;
+  request.organisation = FLAGS_organisation;
+  request.timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
+  if (!FLAGS_body.empty()) {
+    request.http.body = FLAGS_body;
+  }
+  if (FLAGS_header.empty()) {
+    return true;
+  }
+  const std::size_t colon = FLAGS_header.find(':');
+  if (colon == std::string::npos || colon == 0 ||
+      colon + 1 == FLAGS_header.size()) {
+    return false;
+  }
+  request.http.headers.emplace_back(FLAGS_header.substr(0, colon),
+                                    FLAGS_header.substr(colon + 1));
+  return true;
+}
+
 int SendOne(tool_environment& environment) {
   const result<std::vector<work_kind>> kinds =
       ParseWorkMix(FLAGS_service + ":" + FLAGS_kind + ":" + FLAGS_path +
@@ -128,9 +155,10 @@
   }
   call_request request =
       BuildCallRequest(ValueOf(kinds).front(), environment.run_id);
-  request.key = FLAGS_key;
-  request.organisation = FLAGS_organisation;
-  request.timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
+  if (!ApplyFlags(request)) {
+    std::cerr << "expected --header=NAME:VALUE\n";
+    return kExitUsage;
+  }
   environment.recorder.RecordInvocation(request);
   const call_result outcome =
       environment.client.Call(request, &environment.recorder);
