Hold back a request that crashes targets on all hosts

Cause: query_of_death_test sends a request that crashes its targets through one host after another. It cost 4 of 4 targets, because each host counted only its own losses: the first host held it back after two targets, the next one ran it on two more. A crash on a pooled connection was not counted at all, as it looks like a connection that the target had closed before.

Change: a host reports lost targets of a request that it could not answer to the other hosts (crash_report), and waits for their acknowledgement for up to 500 ms before it answers, since the caller may try another host at once. A stale pooled connection counts as a loss if the request was sent; the retry takes a new connection, and an answer clears the request as before.

--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -85,6 +85,8 @@
   std::optional<std::uint32_t> reported_load;
   // The target says that it is leaving.
   bool is_draining = false;
+  // False if the request provably did not reach the target.
+  bool may_have_started = true;
 };
 
 // Chooses targets for requests and learns from their outcomes.
--- a/libraries/dispatch/service_actor.cc
+++ b/libraries/dispatch/service_actor.cc
@@ -63,6 +63,7 @@
       [this](const release_fingerprint_message& message) {
         OnReleaseFingerprint(message);
       },
+      [this](const losses_message& message) { OnLosses(message); },
       [this](const status_message& message) {
         message.answer->set_value(controller_->Status(Now()));
       },
@@ -113,6 +114,13 @@
   message.was_held->set_value(was_held);
 }
 
+void service_actor::OnLosses(const losses_message& message) {
+  for (const std::string& target : message.targets) {
+    controller_->RecordLoss(message.fingerprint, target, Now());
+  }
+  PublishEvents();
+}
+
 void service_actor::OnWakeup(const wakeup_message& message) {
   if (wakeup_at_ && message.at >= *wakeup_at_) {
     wakeup_at_.reset();
--- a/libraries/dispatch/service_actor.h
+++ b/libraries/dispatch/service_actor.h
@@ -88,6 +88,10 @@
   std::uint64_t fingerprint = 0;
   std::shared_ptr<std::promise<bool>> was_held;
 };
+struct losses_message {
+  std::uint64_t fingerprint = 0;
+  std::vector<std::string> targets;
+};
 struct status_message {
   std::shared_ptr<std::promise<service_status>> answer;
 };
@@ -114,6 +118,7 @@
   void OnAcquire(const acquire_message& message);
   void OnCancel(const cancel_message& message);
   void OnReleaseFingerprint(const release_fingerprint_message& message);
+  void OnLosses(const losses_message& message);
   void OnWakeup(const wakeup_message& message);
   // Hands out decisions, publishes events and asks to be woken up again.
   void Finish(decision_list decisions);
@@ -138,6 +143,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::draining_machines_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::probe_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::release_fingerprint_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::losses_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::status_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bulrushshore::wakeup_message)
 
--- a/libraries/dispatch/service_controller.cc
+++ b/libraries/dispatch/service_controller.cc
@@ -140,6 +140,14 @@
   return decisions;
 }
 
+void service_controller::RecordLoss(std::uint64_t fingerprint,
+                                    std::string_view target,
+                                    time_point now) {
+  if (guard_.RecordLoss(fingerprint, target, now)) {
+    hold_events_.push_back({fingerprint, std::string(target)});
+  }
+}
+
 bool service_controller::ReleaseFingerprint(std::uint64_t fingerprint,
                                             time_point now) {
   return guard_.Release(fingerprint, now);
@@ -420,9 +428,12 @@
     classifier_.Record(ended.kind, report.elapsed);
     guard_.RecordCompleted(ended.fingerprint);
   }
-  if (report.outcome == attempt_result::kConnectionLost &&
-      guard_.RecordLoss(ended.fingerprint, ended.target, now)) {
-    hold_events_.push_back({ended.fingerprint, ended.target});
+  // A crash also closes pooled connections. That a stale one was closed for
+  // another reason shows when the request is answered on the next one.
+  const bool is_lost = report.outcome == attempt_result::kConnectionLost ||
+                       report.outcome == attempt_result::kStaleConnection;
+  if (is_lost && report.may_have_started) {
+    RecordLoss(ended.fingerprint, ended.target, now);
   }
   detector_.Report(ended.target,
                    evidence{EvidenceOf(report.outcome), ended.kind,
--- a/libraries/dispatch/service_controller.h
+++ b/libraries/dispatch/service_controller.h
@@ -88,6 +88,12 @@
                                             const probe_report& report,
                                             time_point now);
 
+  // Enters that `target` closed the connection while it ran the request, as
+  // this or another host has seen.
+  void RecordLoss(std::uint64_t fingerprint,
+                  std::string_view target,
+                  time_point now);
+
   // Ends the hold of a request that crashed targets; returns false if it was
   // not held back.
   bool ReleaseFingerprint(std::uint64_t fingerprint, time_point now);
--- a/libraries/dispatch/service_dispatcher.cc
+++ b/libraries/dispatch/service_dispatcher.cc
@@ -136,6 +136,17 @@
   }
 }
 
+void service_dispatcher::ReportLosses(std::string_view service,
+                                      std::uint64_t fingerprint,
+                                      std::vector<std::string> targets) {
+  const std::shared_ptr<const entry_map> entries = Entries();
+  const auto position = entries->find(service);
+  if (position != entries->end()) {
+    caf::anon_send(position->second.actor,
+                   losses_message{fingerprint, std::move(targets)});
+  }
+}
+
 bool service_dispatcher::ReleaseFingerprint(std::uint64_t fingerprint) {
   std::vector<std::future<bool>> answers;
   const std::shared_ptr<const entry_map> entries = Entries();
--- a/libraries/dispatch/service_dispatcher.h
+++ b/libraries/dispatch/service_dispatcher.h
@@ -90,6 +90,13 @@
                    std::string_view target,
                    const probe_report& report);
 
+  // Enters that `targets` closed their connections while they ran the request,
+  // as another host has seen. Requests submitted after this call are judged
+  // with it. Thread safe; does not block.
+  void ReportLosses(std::string_view service,
+                    std::uint64_t fingerprint,
+                    std::vector<std::string> targets);
+
   // Ends the hold of a request that crashed targets; returns true if it was
   // held back by a service. Thread safe; blocks.
   bool ReleaseFingerprint(std::uint64_t fingerprint);
--- a/libraries/fleet/fleet_agent.cc
+++ b/libraries/fleet/fleet_agent.cc
@@ -1,11 +1,13 @@
 #include "libraries/fleet/fleet_agent.h"
 
+#include <mutex>
 #include <optional>
 #include <utility>
 
 #include <caf/scoped_actor.hpp>
 
 #include "libraries/base/random_source.h"
+#include "libraries/fleet/crash_reports.h"
 #include "libraries/fleet/host_objects.h"
 #include "libraries/membership/host_assignment.h"
 #include "libraries/membership/membership_agent.h"
@@ -74,6 +76,7 @@
 
   void Connect(const dependencies& dependencies);
   void OnHandover(const peer_request& request);
+  void OnCrashReport(const peer_request& request);
   void ImportTable(const peer_request& request,
                    const handover_contents& contents);
 
@@ -87,6 +90,8 @@
   std::unique_ptr<membership_agent> membership;
   std::unique_ptr<configuration_agent> configuration;
   std::shared_ptr<host_objects> objects;
+  std::mutex crash_budget_mutex;
+  crash_report_budget crash_budget;
 };
 
 void fleet_agent::core::Connect(const dependencies& dependencies) {
@@ -134,6 +139,20 @@
           locked->OnHandover(request);
         }
       });
+  messenger->SetRequestHandler(
+      crash_report_message(), [weak](const peer_request& request) {
+        const std::shared_ptr<core> locked = weak.lock();
+        if (locked != nullptr) {
+          locked->OnCrashReport(request);
+        }
+      });
+}
+
+void fleet_agent::core::OnCrashReport(const peer_request& request) {
+  if (options.on_crash_report != nullptr) {
+    options.on_crash_report(*std::get_if<crash_report_message>(&request.body));
+  }
+  messenger->Reply(request, crash_report_ack_message());
 }
 
 void fleet_agent::core::OnHandover(const peer_request& request) {
@@ -247,6 +266,25 @@
   core_->membership->SetSelfSuspect(is_self_suspect);
 }
 
+void fleet_agent::ReportCrash(const crash_report_message& report,
+                              std::function<void()> done) {
+  const bool is_allowed = [this] {
+    const std::lock_guard<std::mutex> lock(core_->crash_budget_mutex);
+    return core_->crash_budget.TryTake(core_->stack->clock.Now());
+  }();
+  std::vector<host_record> receivers;
+  if (is_allowed) {
+    const std::shared_ptr<const membership_snapshot> view =
+        core_->membership->Snapshot();
+    receivers =
+        ReceiversOfCrashReport(view->hosts, view->self.id,
+                               HostsOfService(report.service, view->hosts,
+                                              *core_->configuration->Current(),
+                                              core_->options.discovery.rules));
+  }
+  SendCrashReport(core_->messenger, receivers, report, std::move(done));
+}
+
 void fleet_agent::HandOverKeys(const std::vector<std::string>& parts,
                                handover_done done) {
   const std::shared_ptr<const membership_snapshot> snapshot =
--- a/libraries/fleet/fleet_agent.h
+++ b/libraries/fleet/fleet_agent.h
@@ -17,6 +17,7 @@
 #include "libraries/membership/key_handover.h"
 #include "libraries/membership/membership_rounds.h"
 #include "libraries/peer_protocol/handshake.h"
+#include "libraries/peer_protocol/messages.h"
 #include "libraries/peer_protocol/peer_transport.h"
 #include "libraries/store/object_store.h"
 #include "libraries/telemetry/audit.h"
@@ -44,6 +45,9 @@
   // answers for its keys once it returns without an error. Called on a thread
   // that may block. If it is empty, hand-overs are refused.
   std::function<status(const std::vector<std::string>& parts)> import_keys;
+  // Called on a transport thread with what another host has lost; must not
+  // block. May be empty.
+  std::function<void(const crash_report_message& report)> on_crash_report;
   // Whether Stop() waits until the actors have ended. Only tests whose own
   // thread runs the actors turn it off.
   bool waits_for_actors = true;
@@ -102,6 +106,12 @@
   // Tells the fleet whether this host suspects itself to be at fault.
   void SetSelfSuspect(bool is_self_suspect);
 
+  // Tells the hosts of ReceiversOfCrashReport() about `report`, and calls
+  // `done` once, on any thread, when they know it or cannot be reached. Without
+  // effect beyond the bound of crash_report_budget.
+  void ReportCrash(const crash_report_message& report,
+                   std::function<void()> done);
+
   // Hands the parts of this host's sealed key table over to one live host,
   // chosen once, preferably in the same zone. `done` is called once, on any
   // thread: see handover_done, and kNotFound if no other host is live.
--- a/libraries/membership/discovery_response.cc
+++ b/libraries/membership/discovery_response.cc
@@ -48,18 +48,37 @@
          std::to_string(host.key_generation);
 }
 
+std::vector<host_record> HostsOfService(const std::string& service,
+                                        const std::vector<host_record>& hosts,
+                                        const catalog_snapshot& catalog,
+                                        const assignment_rules& rules) {
+  std::vector<host_record> assigned;
+  if (catalog.contents.services.count(service) == 0) {
+    return assigned;
+  }
+  const std::vector<host_record> usable = HostsForCallers(hosts);
+  const std::uint64_t slots = RegisteredSlots(service, catalog.contents);
+  const std::vector<const host_record*> members =
+      AssignHosts(service, slots, usable, rules);
+  for (const host_record* member : members) {
+    assigned.push_back(*member);
+  }
+  return assigned;
+}
+
 result<std::string> DiscoveryResponse(const discovery_query& query,
                                       const std::vector<host_record>& hosts,
                                       const catalog_snapshot& catalog,
                                       const discovery_options& options) {
-  const catalog_contents& contents = catalog.contents;
-  if (contents.services.count(query.service) == 0) {
+  if (catalog.contents.services.count(query.service) == 0) {
     return error{error_code::kNotFound, "unknown service " + query.service};
   }
-  const std::vector<host_record> usable = HostsForCallers(hosts);
-  std::vector<const host_record*> assigned =
-      AssignHosts(query.service, RegisteredSlots(query.service, contents),
-                  usable, options.rules);
+  const std::vector<host_record> members =
+      HostsOfService(query.service, hosts, catalog, options.rules);
+  std::vector<const host_record*> assigned;
+  for (const host_record& member : members) {
+    assigned.push_back(&member);
+  }
   SortByRendezvous(query.caller, assigned);
   std::stable_partition(
       assigned.begin(), assigned.end(),
--- a/libraries/membership/discovery_response.h
+++ b/libraries/membership/discovery_response.h
@@ -33,6 +33,13 @@
 // of an idempotency key. Thread safe.
 std::string KeyPrefix(const host_record& host);
 
+// Returns the hosts that discovery responses name for `service`, in no order.
+// Empty for a service that `catalog` does not have. Thread safe.
+std::vector<host_record> HostsOfService(const std::string& service,
+                                        const std::vector<host_record>& hosts,
+                                        const catalog_snapshot& catalog,
+                                        const assignment_rules& rules);
+
 // Returns the JSON text that answers `query`: the hosts that serve the service,
 // those of the caller's zone first. Hosts that are leaving, suspected or lost,
 // and hosts that suspect themselves while others do not, are left out.
--- a/libraries/peer_protocol/message_codec.cc
+++ b/libraries/peer_protocol/message_codec.cc
@@ -16,7 +16,7 @@
     kTypeNames = {"ping",          "ping_reply",    "digest",
                   "digest_reply",  "suspect_check", "suspect_check_reply",
                   "parts_request", "parts_reply",   "handover",
-                  "handover_ack"};
+                  "handover_ack",  "crash_report",  "crash_report_ack"};
 constexpr std::size_t kMaxTypeBytes = 32;
 constexpr std::size_t kMaxCounters = 1'000;
 
@@ -189,6 +189,24 @@
   body.is_complete = fields.Boolean("complete");
 }
 
+nlohmann::json EncodeBody(const crash_report_message& body) {
+  return {{"service", body.service},
+          {"fingerprint", body.fingerprint},
+          {"targets", body.targets}};
+}
+
+void ReadBody(message_fields& fields, crash_report_message& body) {
+  body.service = fields.Identifier("service");
+  body.fingerprint = fields.Unsigned("fingerprint");
+  body.targets = fields.Identifiers("targets", kMaxTargetsPerReport);
+}
+
+nlohmann::json EncodeBody(const crash_report_ack_message&) {
+  return nlohmann::json::object();
+}
+
+void ReadBody(message_fields&, crash_report_ack_message&) {}
+
 struct body_encoder {
   template <typename Body>
   nlohmann::json operator()(const Body& body) const {
@@ -226,7 +244,8 @@
          std::holds_alternative<digest_reply_message>(body) ||
          std::holds_alternative<suspect_check_reply_message>(body) ||
          std::holds_alternative<parts_reply_message>(body) ||
-         std::holds_alternative<handover_ack_message>(body);
+         std::holds_alternative<handover_ack_message>(body) ||
+         std::holds_alternative<crash_report_ack_message>(body);
 }
 
 std::string EncodeMessage(const peer_message& message) {
--- a/libraries/peer_protocol/messages.h
+++ b/libraries/peer_protocol/messages.h
@@ -14,6 +14,7 @@
 inline constexpr std::size_t kMaxFrameBytes = 1'048'576;
 inline constexpr std::size_t kMaxRecordsPerMessage = 1'000;
 inline constexpr std::size_t kMaxSummariesPerMessage = 4'000;
+inline constexpr std::size_t kMaxTargetsPerReport = 8;
 inline constexpr std::size_t kMaxInheritedIncarnations = 32;
 inline constexpr std::size_t kMaxSliceBytes = 65'536;
 inline constexpr std::size_t kMaxHandoverBytes = 50'331'648;
@@ -138,6 +139,22 @@
   bool operator==(const handover_ack_message&) const = default;
 };
 
+// Tells that a request was lost together with the targets that ran it, so that
+// its caller cannot try it on further targets through other hosts.
+struct crash_report_message {
+  std::string service;
+  // Hash of the request's method, path and body.
+  std::uint64_t fingerprint = 0;
+  // Names of the targets that closed the connection while they ran it.
+  std::vector<std::string> targets;
+
+  bool operator==(const crash_report_message&) const = default;
+};
+
+struct crash_report_ack_message {
+  bool operator==(const crash_report_ack_message&) const = default;
+};
+
 // The alternatives' order gives the message kind, see message_codec.cc.
 using peer_body = std::variant<ping_message,
                                ping_reply_message,
@@ -148,7 +165,9 @@
                                parts_request_message,
                                parts_reply_message,
                                handover_message,
-                               handover_ack_message>;
+                               handover_ack_message,
+                               crash_report_message,
+                               crash_report_ack_message>;
 
 struct peer_message {
   // Correlation id; a reply carries that of its request.
--- a/libraries/proxy/attempt_runner.cc
+++ b/libraries/proxy/attempt_runner.cc
@@ -51,11 +51,13 @@
 attempt_runner::attempt_runner(const retry_options& options,
                                dispatcher& targets,
                                target_client& client,
-                               const clock& source)
+                               const clock& source,
+                               crash_reporter report_crash)
     : options_(options),
       dispatcher_(targets),
       client_(client),
       clock_(source),
+      report_crash_(std::move(report_crash)),
       random_(seeded_random::FromSystemEntropy()) {}
 
 work_result attempt_runner::Run(const work& given) {
@@ -81,6 +83,7 @@
   if (is_answered) {
     return state.result;
   }
+  ReportCrash(given, state);
   if (state.server_error.has_value()) {
     state.result.outcome = std::move(*state.server_error);
   } else if (state.started_failure.has_value()) {
@@ -111,7 +114,9 @@
   request.address = granted.chosen.address;
   request.message = given.message;
   request.deadline = given.deadline;
-  request.needs_new_connection = !given.is_idempotent;
+  // After a loss, a new connection tells a crash from a stale connection.
+  request.needs_new_connection =
+      !given.is_idempotent || !state.lost_targets.empty();
   request.max_connections = granted.chosen.max_connections;
   // Work that may not be repeated runs to its end, so that its response can
   // be kept for a retry.
@@ -174,9 +179,15 @@
   const failure_point point = std::get<failure_point>(exchanged.outcome);
   report.outcome = AttemptResultOf(point, exchanged.was_connection_reused);
   state.result.outcome = point;
-  if (MayHaveStarted(point)) {
+  report.may_have_started = MayHaveStarted(point);
+  if (report.may_have_started) {
     state.started_failure = point;
   }
+  const bool is_lost = report.outcome == attempt_result::kConnectionLost ||
+                       report.outcome == attempt_result::kStaleConnection;
+  if (is_lost && report.may_have_started) {
+    state.lost_targets.push_back(granted.chosen.name);
+  }
   if (point == failure_point::kCancelled) {
     return next_step::kDone;
   }
@@ -187,6 +198,15 @@
   return may_retry ? next_step::kRetry : next_step::kDone;
 }
 
+// The caller may send the request again through another host as soon as it has
+// its response, so the other hosts are told before.
+void attempt_runner::ReportCrash(const work& given,
+                                 const run_state& state) const {
+  if (report_crash_ != nullptr && !state.lost_targets.empty()) {
+    report_crash_(given, state.lost_targets);
+  }
+}
+
 bool attempt_runner::BackOff(const work& given, std::uint32_t attempt) {
   duration delay = options_.base_delay * (1U << (attempt - 1));
   {
--- a/libraries/proxy/attempt_runner.h
+++ b/libraries/proxy/attempt_runner.h
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
@@ -48,16 +50,24 @@
   std::uint32_t attempts = 0;
 };
 
+// Tells the other hosts that `targets` closed their connections while they ran
+// `lost`, which was not answered. May block for a short time.
+using crash_reporter =
+    std::function<void(const work& lost,
+                       const std::vector<std::string>& targets)>;
+
 // Acquires targets for work, sends it and retries it where that is safe:
 // idempotent work after every failure, other work only when it provably did
 // not start. Thread safe.
 class attempt_runner {
  public:
-  // Preconditions: the references outlive this object.
+  // `report_crash` may be empty. Preconditions: the references outlive this
+  // object.
   attempt_runner(const retry_options& options,
                  dispatcher& targets,
                  target_client& client,
-                 const clock& source);
+                 const clock& source,
+                 crash_reporter report_crash = {});
 
   // Blocks until the outcome is certain, at most until the deadline.
   work_result Run(const work& given);
@@ -70,6 +80,8 @@
     std::optional<failure_point> started_failure;
     // The last complete server error of a target.
     std::optional<proxy_response> server_error;
+    // Targets that closed the connection while they may have run the work.
+    std::vector<std::string> lost_targets;
   };
 
   enum class next_step { kDone, kRetry };
@@ -86,12 +98,14 @@
                       const exchange_result& exchanged,
                       attempt_report& report,
                       run_state& state);
+  void ReportCrash(const work& given, const run_state& state) const;
   bool BackOff(const work& given, std::uint32_t attempt);
 
   const retry_options options_;
   dispatcher& dispatcher_;
   target_client& client_;
   const clock& clock_;
+  const crash_reporter report_crash_;
   std::mutex random_mutex_;
   seeded_random random_;
 };
--- a/libraries/proxy/proxy_service.h
+++ b/libraries/proxy/proxy_service.h
@@ -40,6 +40,8 @@
   metric_registry& metrics;
   // Answers "/_bulrush/" requests.
   discovery_handler discovery;
+  // May be empty; see attempt_runner.
+  crash_reporter report_crash{};
 };
 
 // The request path of one host. Order of a graceful stop: BeginShutdown(), a
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -45,6 +45,9 @@
 // A leaving target must stop receiving new work within 3 s.
 constexpr std::chrono::milliseconds kMachineListInterval(2'000);
 constexpr std::chrono::seconds kHandoverLimit(5);
+// A response waits at most this long until the other hosts know of the crash
+// that it reports.
+constexpr std::chrono::milliseconds kCrashReportLimit(500);
 // At 600 hosts that all have something to report, this is 60 writes/s.
 constexpr std::chrono::milliseconds kAuditInterval(10'000);
 
@@ -128,7 +131,11 @@
         claims(store, time_source, {}),
         proxy(MakeProxyOptions(settings),
               {fleet.snapshots(), targets, fleet.directory(), keys, claims,
-               time_source, metrics, MakeDiscoveryHandler(fleet)}),
+               time_source, metrics, MakeDiscoveryHandler(fleet),
+               [this](const work& lost,
+                      const std::vector<std::string>& lost_targets) {
+                 ReportCrash(lost, lost_targets);
+               }}),
         probe_client(kProbeTimeout),
         audit_copies(audit, store, settings.id, incarnation),
         admin({[this] { return UnreadyReasons(); },
@@ -226,12 +233,26 @@
           const std::lock_guard<std::mutex> lock(targets_mutex);
           targets.Apply(std::move(snapshot));
         };
+    options.on_crash_report = [this](const crash_report_message& report) {
+      targets.ReportLosses(report.service, report.fingerprint, report.targets);
+    };
     options.import_keys = [this](const std::vector<std::string>& encoded) {
       return ImportKeys(encoded);
     };
     return options;
   }
 
+  void ReportCrash(const work& lost,
+                   const std::vector<std::string>& lost_targets) {
+    const std::shared_ptr<std::promise<void>> done =
+        std::make_shared<std::promise<void>>();
+    const std::future<void> is_done = done->get_future();
+    fleet.ReportCrash({lost.service, lost.fingerprint, lost_targets},
+                      [done] { done->set_value(); });
+    is_done.wait_for(std::min<duration>(kCrashReportLimit,
+                                        lost.deadline - time_source.Now()));
+  }
+
   status ImportKeys(const std::vector<std::string>& encoded) {
     result<handover> decoded = DecodeHandover(encoded);
     if (!IsOk(decoded)) {
--- a/tests/dispatch/service_controller_test.cc
+++ b/tests/dispatch/service_controller_test.cc
@@ -359,6 +359,37 @@
   MustStart(request);
 }
 
+// Guards against a crash that goes unnoticed because the connection was a
+// pooled one, and against blaming a request that was never sent.
+TEST_F(ServiceControllerTest, CountsLossesOnPooledConnectionsOnlyIfSent) {
+  Start(MakeCatalog(6));
+  acquire_request request = MakeRequest();
+  request.fingerprint = 77;
+  const grant first = MustStart(request);
+  attempt_report not_sent;
+  not_sent.outcome = attempt_result::kStaleConnection;
+  not_sent.may_have_started = false;
+  controller->Release(first.id, not_sent, now);
+  request.excluded_targets = {first.chosen.name};
+  const grant second = MustStart(request);
+  Release(second.id, attempt_result::kStaleConnection);
+  request.excluded_targets.push_back(second.chosen.name);
+  Release(MustStart(request).id, attempt_result::kConnectionLost);
+  EXPECT_EQ(MustRefuse(request), refusal_reason::kHeldBack);
+}
+
+// Guards against a request that costs two more targets on each host.
+TEST_F(ServiceControllerTest, CountsLossesThatOtherHostsReport) {
+  Start(MakeCatalog(6));
+  acquire_request request = MakeRequest();
+  request.fingerprint = 77;
+  controller->RecordLoss(77, "archive-1", now);
+  controller->RecordLoss(77, "archive-1", now);
+  Release(MustStart(request).id, attempt_result::kShed);
+  controller->RecordLoss(77, "archive-2", now);
+  EXPECT_EQ(MustRefuse(request), refusal_reason::kHeldBack);
+}
+
 // Guards against an ejected target that is not tried again, or that gets more
 // than one request at a time for it.
 TEST_F(ServiceControllerTest, TriesAnEjectedTargetWithSingleRequests) {
--- a/tests/fleet/agent_fleet.cc
+++ b/tests/fleet/agent_fleet.cc
@@ -69,6 +69,9 @@
       [self](const std::shared_ptr<const catalog_snapshot>& snapshot) {
         self->versions.push_back(snapshot->version);
       };
+  options.on_crash_report = [self](const crash_report_message& report) {
+    self->crash_reports.push_back(report);
+  };
   options.import_keys =
       [self](const std::vector<std::string>& parts) -> status {
     if (self->refuses_imports) {
--- a/tests/fleet/agent_fleet.h
+++ b/tests/fleet/agent_fleet.h
@@ -47,6 +47,8 @@
     std::vector<std::vector<std::string>> imported;
     // Versions that the snapshot listener was given.
     std::vector<std::uint64_t> versions;
+    // What other hosts reported.
+    std::vector<crash_report_message> crash_reports;
     bool refuses_imports = false;
     // The calls to the store of this host wait.
     bool is_store_paused = false;
--- a/tests/peer_protocol/message_codec_test.cc
+++ b/tests/peer_protocol/message_codec_test.cc
@@ -50,7 +50,9 @@
           parts_request_message{"abc", 6, true},
           parts,
           handover,
-          handover_ack_message{"00000000000000ff", true, 3, true}};
+          handover_ack_message{"00000000000000ff", true, 3, true},
+          crash_report_message{"archive", 0xffffffffffffffffU, {"archive-1"}},
+          crash_report_ack_message{}};
 }
 
 nlohmann::json EncodedJson(const peer_body& body) {
--- a/tests/proxy/proxy_fixture.cc
+++ b/tests/proxy/proxy_fixture.cc
@@ -29,8 +29,12 @@
     return nlohmann::json({{"service", query.at("service")}});
   };
   proxy = std::make_unique<proxy_service>(
-      changed, proxy_collaborators{snapshot, targets, directory, keys, claims,
-                                   time, metrics, discovery});
+      changed,
+      proxy_collaborators{
+          snapshot, targets, directory, keys, claims, time, metrics, discovery,
+          [this](const work&, const std::vector<std::string>& lost) {
+            crash_reports.push_back(lost);
+          }});
   proxy->Start();
 }
 
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -47,6 +47,8 @@
   scripted_store store;
   key_owner keys;
   object_store_key_claims claims{store, time, {}};
+  // Targets in each report of a crash, in the order of the reports.
+  std::vector<std::vector<std::string>> crash_reports;
   std::unique_ptr<proxy_service> proxy;
 };
 
--- a/tests/proxy/target_failure_test.cc
+++ b/tests/proxy/target_failure_test.cc
@@ -215,6 +215,28 @@
   EXPECT_TRUE(fixture.targets.Requests()[2].excluded_targets.empty());
 }
 
+// Guards against a request that crashes targets and whose caller knows the
+// outcome, and so may try another host, before the other hosts know of it.
+TEST(TargetFailureTest, ReportsLostTargetsBeforeItAnswers) {
+  scripted_target first({ReadRequest});
+  scripted_target second({ReadRequest});
+  scripted_target third({AfterRequest("HTTP/1.1 200 OK\r\nContent-Le")});
+  proxy_fixture fixture({first.port(), second.port(), third.port()});
+  EXPECT_EQ(StatusOf(fixture.Get("/lookup")), 502);
+  const std::vector<std::string> lost = {"target-1", "target-2"};
+  ASSERT_EQ(fixture.crash_reports.size(), 1U);
+  EXPECT_EQ(fixture.crash_reports[0], lost);
+}
+
+// Guards against reports of requests that were answered in the end.
+TEST(TargetFailureTest, ReportsNoLossesOfAnsweredRequests) {
+  scripted_target failing({ReadRequest});
+  scripted_target working({AfterRequest(PlainResponse(200, "fine"))});
+  proxy_fixture fixture({failing.port(), working.port()});
+  EXPECT_EQ(StatusOf(fixture.Get("/lookup")), 200);
+  EXPECT_TRUE(fixture.crash_reports.empty());
+}
+
 // Guards against non-idempotent work on a connection that may just be closing,
 // and against pooled connections that are not used again.
 TEST(TargetFailureTest, PoolsConnectionsOfIdempotentWorkOnly) {
