--- a/tests/system/fault_schedule_test.cc
+++ b/tests/system/fault_schedule_test.cc
@@ -39,7 +39,8 @@
     RC_FAIL("the histories are not complete: " + fleet.Keep());
   }
   const history_report report = CheckHistory(ValueOf(history));
-  std::cout << "schedule " << DescribeVerdict(report, runner.injected())
+  std::cout << "schedule "
+            << DescribeVerdict(ValueOf(history), report, runner.injected())
             << std::endl;
   if (!report.violations.empty()) {
     PrintSchedule(schedule);
--- a/tests/system/history_verdict.cc
+++ b/tests/system/history_verdict.cc
@@ -8,6 +8,23 @@
 #include <nlohmann/json.hpp>
 
 namespace bulrushshore {
+namespace {
+
+std::map<std::string, std::uint64_t> CountNotRunReasons(
+    const operation_history& history) {
+  std::map<std::string, std::uint64_t> reasons;
+  for (const std::map<std::string, operation_record>::value_type& entry :
+       history.operations()) {
+    for (const completion_event& completion : entry.second.completions) {
+      if (completion.outcome == recorded_outcome::kNotRun) {
+        ++reasons[completion.reason];
+      }
+    }
+  }
+  return reasons;
+}
+
+}  // namespace
 
 result<operation_history> ReadHistories(const std::string& folder) {
   operation_history history;
@@ -27,6 +44,7 @@
 }
 
 std::string DescribeVerdict(
+    const operation_history& history,
     const history_report& report,
     const std::map<std::string, std::uint64_t>& injected) {
   nlohmann::json violations = nlohmann::json::object();
@@ -51,6 +69,7 @@
       {"non_repeatable_unknown_share", report.UnknownShare()},
       {"violations", violations},
       {"details", details},
+      {"not_run_reasons", CountNotRunReasons(history)},
       {"faults", injected}};
   return description.dump();
 }
--- a/tests/system/history_verdict.h
+++ b/tests/system/history_verdict.h
@@ -14,10 +14,12 @@
 // Reads all history files (*.jsonl) of a folder.
 result<operation_history> ReadHistories(const std::string& folder);
 
-// Returns one line of JSON: operations, outcomes, violations by kind, the
-// faults injected by kind, and the share of non-repeatable work that ended
-// unknown.
+// Returns one line of JSON: operations, outcomes, why operations did not run,
+// violations by kind, the faults injected by kind, and the share of
+// non-repeatable work that ended unknown. Precondition: `report` is about
+// `history`.
 std::string DescribeVerdict(
+    const operation_history& history,
     const history_report& report,
     const std::map<std::string, std::uint64_t>& injected);
 
