Do not blame a request that was just answered for lost targets

Cause: a popular harmless request runs on every target that dies for another reason. Change: crash_guard remembers the last answer to 256 fingerprints for a minute, and a loss of a request that was answered within that time does not count. A request that always crashes its target is never answered, so that it is still held back after two. The ownership exploration gives claims a directory, as their write budget needs one now. Tests: three new cases in crash_guard_test (answered just now, answered long ago, another request answered).

--- a/libraries/admission/crash_guard.cc
+++ b/libraries/admission/crash_guard.cc
@@ -10,7 +10,8 @@
 bool crash_guard::RecordLoss(std::uint64_t fingerprint,
                              std::string_view target,
                              time_point now) {
-  if (fingerprint == 0 || !options_.is_enabled) {
+  if (fingerprint == 0 || !options_.is_enabled ||
+      WasAnsweredLately(fingerprint, now)) {
     return false;
   }
   const auto known = losses_.find(fingerprint);
@@ -32,13 +33,31 @@
   return true;
 }
 
-void crash_guard::RecordCompleted(std::uint64_t fingerprint) {
+void crash_guard::RecordCompleted(std::uint64_t fingerprint, time_point now) {
+  if (fingerprint == 0) {
+    return;
+  }
+  // Most services of a host get no traffic, so the room is taken late.
+  if (answers_.empty()) {
+    answers_.resize(std::max<std::size_t>(1, options_.answer_capacity));
+  }
+  answers_[fingerprint % answers_.size()] = {fingerprint, now};
   const auto known = losses_.find(fingerprint);
   if (known != losses_.end()) {
     losses_.erase(known);
   }
 }
 
+bool crash_guard::WasAnsweredLately(std::uint64_t fingerprint,
+                                    time_point now) const {
+  if (answers_.empty()) {
+    return false;
+  }
+  const answer_record& answer = answers_[fingerprint % answers_.size()];
+  return answer.fingerprint == fingerprint &&
+         now - answer.time < options_.answer_memory;
+}
+
 std::optional<time_point> crash_guard::HeldUntil(std::uint64_t fingerprint,
                                                  time_point now) const {
   const auto known = losses_.find(fingerprint);
--- a/libraries/admission/crash_guard.h
+++ b/libraries/admission/crash_guard.h
@@ -19,6 +19,11 @@
   duration hold_time = std::chrono::minutes(10);
   // Fingerprints kept; beyond it the one with the oldest loss is forgotten.
   std::size_t capacity = 200;
+  // A request that was answered within this time is not blamed for losses:
+  // targets that die while they run a popular request are no evidence.
+  duration answer_memory = std::chrono::minutes(1);
+  // Fingerprints whose last answer is remembered, 16 bytes each.
+  std::size_t answer_capacity = 256;
 };
 
 // A request that is held back.
@@ -39,8 +44,9 @@
                   std::string_view target,
                   time_point now);
 
-  // Enters a complete answer, which clears the request of suspicion.
-  void RecordCompleted(std::uint64_t fingerprint);
+  // Enters a complete answer, which clears the request of suspicion, also for
+  // losses within the answer memory.
+  void RecordCompleted(std::uint64_t fingerprint, time_point now);
 
   // Returns until when the request is held back, or nothing if it is not.
   std::optional<time_point> HeldUntil(std::uint64_t fingerprint,
@@ -62,9 +68,18 @@
     std::optional<time_point> held_until;
   };
 
+  struct answer_record {
+    std::uint64_t fingerprint = 0;
+    time_point time;
+  };
+
   void MakeRoom(time_point now);
+  bool WasAnsweredLately(std::uint64_t fingerprint, time_point now) const;
 
   crash_guard_options options_;
+  // Indexed by the fingerprint modulo the size; a newer answer replaces an
+  // older one in the same place.
+  std::vector<answer_record> answers_;
   std::unordered_map<std::uint64_t, loss_record> losses_;
 };
 
--- a/libraries/dispatch/service_controller.cc
+++ b/libraries/dispatch/service_controller.cc
@@ -423,7 +423,7 @@
                                    time_point now) {
   if (report.outcome == attempt_result::kSuccess) {
     classifier_.Record(ended.kind, report.elapsed);
-    guard_.RecordCompleted(ended.fingerprint);
+    guard_.RecordCompleted(ended.fingerprint, now);
   }
   // A crash also closes pooled connections. That a stale one was closed for
   // another reason shows when the request is answered on the next one.
--- a/tests/admission/crash_guard_test.cc
+++ b/tests/admission/crash_guard_test.cc
@@ -40,10 +40,40 @@
 TEST(CrashGuardTest, ACompletedAnswerClears) {
   crash_guard guard;
   guard.RecordLoss(kFingerprint, "a", kStart);
-  guard.RecordCompleted(kFingerprint);
+  guard.RecordCompleted(kFingerprint, kStart);
   EXPECT_FALSE(guard.RecordLoss(kFingerprint, "b", kStart));
 }
 
+// Guards against a hold on a popular harmless request: it runs on every target
+// that dies for another reason.
+TEST(CrashGuardTest, ARequestThatWasJustAnsweredIsNotBlamed) {
+  crash_guard guard;
+  guard.RecordCompleted(kFingerprint, kStart);
+  const time_point soon = kStart + std::chrono::seconds(59);
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "a", soon));
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "b", soon));
+  EXPECT_FALSE(guard.HeldUntil(kFingerprint, soon));
+}
+
+// Guards against a request that was harmless once and crashes targets now.
+TEST(CrashGuardTest, AnOldAnswerDoesNotProtect) {
+  crash_guard guard;
+  guard.RecordCompleted(kFingerprint, kStart);
+  const time_point later = kStart + std::chrono::minutes(1);
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "a", later));
+  EXPECT_TRUE(guard.RecordLoss(kFingerprint, "b", later));
+}
+
+// Guards against protection by the answer to another request.
+TEST(CrashGuardTest, AnAnswerProtectsOnlyItsOwnRequest) {
+  crash_guard_options options;
+  options.answer_capacity = 1;
+  crash_guard guard(options);
+  guard.RecordCompleted(kFingerprint + 1, kStart);
+  guard.RecordLoss(kFingerprint, "a", kStart);
+  EXPECT_TRUE(guard.RecordLoss(kFingerprint, "b", kStart));
+}
+
 // Guards against unbounded memory, and against forgetting a hold because of
 // many single losses.
 TEST(CrashGuardTest, IsBoundedAndKeepsHolds) {
--- a/tests/idempotency/ownership_step.cc
+++ b/tests/idempotency/ownership_step.cc
@@ -6,6 +6,7 @@
 #include "libraries/base/clock.h"
 #include "libraries/idempotency/handover.h"
 #include "libraries/proxy/key_claims.h"
+#include "tests/proxy/fakes.h"
 
 namespace bulrushshore {
 namespace {
@@ -22,7 +23,8 @@
     std::optional<std::string> object;
     explored_claim_store store(object, store_behaviour::kWorks, true, nullptr);
     const manual_clock time;
-    object_store_key_claims claims(store, time, {});
+    const fake_directory directory{host_record()};
+    object_store_key_claims claims(store, time, directory, {});
     return ValueOf(claims.Claim(kForeignKey,
                                 {HostId(0), IncarnationOfProcess(0), 0, ""}))
         .caller_part;
@@ -220,7 +222,8 @@
       scenario_.left_out != left_out_mechanism::kConditionalCreate,
       std::move(before_write));
   const manual_clock time;
-  object_store_key_claims claims(store, time, {});
+  const fake_directory directory{host_record()};
+  object_store_key_claims claims(store, time, directory, {});
   const result<idempotency_key> bound = claims.Claim(
       kForeignKey, {HostId(state_.processes[process].host),
                     IncarnationOfProcess(process), 0, std::string()});
