--- a/libraries/membership/discovery_response.cc
+++ b/libraries/membership/discovery_response.cc
@@ -76,6 +76,7 @@
   const std::vector<host_record> members =
       HostsOfService(query.service, hosts, catalog, options.rules);
   std::vector<const host_record*> assigned;
+  assigned.reserve(members.size());
   for (const host_record& member : members) {
     assigned.push_back(&member);
   }
@@ -97,15 +98,14 @@
 service_host_set HostSetOf(const std::string& service,
                            std::string_view host_id,
                            const std::vector<host_record>& hosts,
-                           const catalog_contents& contents,
+                           const catalog_snapshot& catalog,
                            const assignment_rules& rules) {
-  const std::vector<host_record> usable = HostsForCallers(hosts);
-  const std::vector<const host_record*> assigned =
-      AssignHosts(service, RegisteredSlots(service, contents), usable, rules);
+  const std::vector<host_record> members =
+      HostsOfService(service, hosts, catalog, rules);
   const bool is_member = std::any_of(
-      assigned.begin(), assigned.end(),
-      [host_id](const host_record* host) { return host->id == host_id; });
-  return {assigned.size(), is_member};
+      members.begin(), members.end(),
+      [host_id](const host_record& host) { return host.id == host_id; });
+  return {members.size(), is_member};
 }
 
 }  // namespace bulrushshore
--- a/libraries/membership/discovery_response.h
+++ b/libraries/membership/discovery_response.h
@@ -61,7 +61,7 @@
 service_host_set HostSetOf(const std::string& service,
                            std::string_view host_id,
                            const std::vector<host_record>& hosts,
-                           const catalog_contents& contents,
+                           const catalog_snapshot& catalog,
                            const assignment_rules& rules);
 
 }  // namespace bulrushshore
--- a/libraries/proxy/connection_bound.cc
+++ b/libraries/proxy/connection_bound.cc
@@ -40,9 +40,8 @@
   // Outside the lock, so that requests of other services do not wait for it.
   const std::shared_ptr<const catalog_snapshot> snapshot =
       configuration_.Current();
-  const service_host_set hosts =
-      HostSetOf(service, directory_.Self().id, directory_.Hosts(),
-                snapshot->contents, {});
+  const service_host_set hosts = HostSetOf(service, directory_.Self().id,
+                                           directory_.Hosts(), *snapshot, {});
   const std::lock_guard<std::mutex> lock(mutex_);
   sets_[service] = {hosts, now};
   return hosts;
--- a/tests/proxy/connection_bound_test.cc
+++ b/tests/proxy/connection_bound_test.cc
@@ -60,7 +60,7 @@
     connection_bound bound(snapshot, directory, time);
     const std::size_t own = bound.Of(Target(0));
     const bool is_member = HostSetOf("archive", directory.Self().id,
-                                     directory.Hosts(), contents, {})
+                                     directory.Hosts(), *snapshot.Current(), {})
                                .is_member;
     bounds.members += is_member ? 1 : 0;
     bounds.of_members += is_member ? own : 0;
