Release claims that wait when a key owner ends

Cause: LeakSanitizer reports 2,012 owners in ownership_exploration_test that are never freed, each with a waiting claim. A response promise refers to its actor, so that the actor kept itself, and the sender of the claim would have waited for good if the owner ended first. Ruled out: the test's own objects, since owners without a waiting claim are freed. Change: the actor drops its waiting claims when it ends; their senders get an error, which is told as unknown. Before: ownership_exploration_test fails under ASan with 5,061,348 bytes leaked (31 of 32 others pass). After: its case KeyOwnerModelTest passes under ASan.

--- a/libraries/idempotency/key_owner.cc
+++ b/libraries/idempotency/key_owner.cc
@@ -80,6 +80,11 @@
     };
   }
 
+  // A promise refers to this actor, so that waiting claims would keep it, and
+  // their senders waiting, for good. Without a promise the senders get an
+  // error.
+  void on_exit() override { waiting_.clear(); }
+
  private:
   time_point Now() { return system().clock().now(); }
 
