--- a/tests/fuzz/caller_connection_fuzzer.cc
+++ b/tests/fuzz/caller_connection_fuzzer.cc
@@ -22,11 +22,17 @@
           "a body has the stated length");
 }
 
+class no_contention : public contention_source {
+ public:
+  bool HasWaitingConnections() const override { return false; }
+};
+
 void ReadAll(int socket) {
   caller_limits limits;
   limits.max_body_bytes = 4096;
   const manual_clock time;
-  caller_connection connection(socket, limits, time);
+  const no_contention contention;
+  caller_connection connection(socket, limits, time, contention);
   while (connection.WaitForRequest(kNoSocket)) {
     const std::variant<request_head, failure_point, connection_ended> read =
         connection.ReadRequest();
--- a/tests/fuzz/key_claim_fuzzer.cc
+++ b/tests/fuzz/key_claim_fuzzer.cc
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -5,6 +6,7 @@
 #include "libraries/proxy/key_claims.h"
 #include "libraries/store/in_memory_object_store.h"
 #include "tests/fuzz/fuzz_input.h"
+#include "tests/proxy/fakes.h"
 
 // A claim object of any content: the key is never bound to the candidate, and
 // what is returned has a valid spelling.
@@ -12,8 +14,9 @@
                                       std::size_t size) {
   using namespace bulrushshore;
   in_memory_object_store store;
-  const manual_clock time;
-  object_store_key_claims claims(store, time, {});
+  manual_clock time;
+  const fake_directory directory{host_record()};
+  object_store_key_claims claims(store, time, directory, {});
   const idempotency_key candidate{"host-a", "00000000000000aa", 1, ""};
   Require(IsOk(claims.Claim("payment-1", candidate)), "a new key is bound");
   const result<std::vector<std::string>> keys = store.List("claims/", 1);
@@ -21,6 +24,8 @@
   const std::uint64_t version = ValueOf(store.Get(key)).version;
   Require(IsOk(store.Put(key, FuzzText(data, size), version)),
           "the claim is replaced");
+  // Refills the write budget, which would refuse the second claim otherwise.
+  time.Advance(std::chrono::seconds(2));
   const result<idempotency_key> bound =
       claims.Claim("payment-1", {"host-b", "00000000000000bb", 2, ""});
   if (!IsOk(bound)) {
