Share the answers to claims between the key owner and its model

Cause: the model that the ownership exploration uses repeated two mappings of key_owner.cc line by line, so that a change to one of them could have been explored in its old form. Change: both use libraries/idempotency/key_answers. No change of behaviour.

--- a/libraries/idempotency/key_owner.cc
+++ b/libraries/idempotency/key_owner.cc
@@ -13,38 +13,12 @@
 #include <caf/send.hpp>
 #include <caf/stateful_actor.hpp>
 
+#include "libraries/idempotency/key_answers.h"
 #include "libraries/idempotency/key_owner_messages.h"
 
 namespace bulrushshore {
 namespace {
 
-key_answer ToFinalAnswer(claim_decision decision) {
-  switch (decision) {
-    case claim_decision::kRun:
-      return key_answer::kRun;
-    case claim_decision::kStoredResponse:
-      return key_answer::kStoredResponse;
-    case claim_decision::kResponseNotKept:
-      return key_answer::kResponseNotKept;
-    case claim_decision::kExpired:
-      return key_answer::kExpired;
-    case claim_decision::kSealed:
-      return key_answer::kSealed;
-    case claim_decision::kTableFull:
-      return key_answer::kTableFull;
-    case claim_decision::kNotOwner:
-      return key_answer::kNotOwner;
-    case claim_decision::kNotIssued:
-      return key_answer::kNotIssued;
-    case claim_decision::kDifferentRequest:
-      return key_answer::kDifferentRequest;
-    case claim_decision::kWait:
-    case claim_decision::kOutcomeUnknown:
-      break;
-  }
-  return key_answer::kOutcomeUnknown;
-}
-
 struct waiting_claim {
   std::uint64_t id = 0;
   caf::response_promise promise;
@@ -124,20 +98,6 @@
     Deliver(message.key, AnswerForWaiting(message), std::nullopt);
   }
 
-  // The attempt's own end is passed on, since the table may have dropped the
-  // entry or its response.
-  static key_claim_answer AnswerForWaiting(const end_message& message) {
-    switch (message.result) {
-      case attempt_end::kAnswered:
-        return {key_answer::kStoredResponse, message.response};
-      case attempt_end::kNotStarted:
-        return {key_answer::kFirstAttemptNotStarted, nullptr};
-      case attempt_end::kUnknown:
-        break;
-    }
-    return {key_answer::kOutcomeUnknown, nullptr};
-  }
-
   // Answers the waiting claim with `only_id`, or all claims of `key`.
   void Deliver(const idempotency_key& key,
                const key_claim_answer& answer,
--- a/tests/idempotency/key_owner_model.cc
+++ b/tests/idempotency/key_owner_model.cc
@@ -2,50 +2,9 @@
 
 #include <utility>
 
-namespace bulrushshore {
-namespace {
-
-key_answer FinalAnswer(claim_decision decision) {
-  switch (decision) {
-    case claim_decision::kRun:
-      return key_answer::kRun;
-    case claim_decision::kStoredResponse:
-      return key_answer::kStoredResponse;
-    case claim_decision::kResponseNotKept:
-      return key_answer::kResponseNotKept;
-    case claim_decision::kExpired:
-      return key_answer::kExpired;
-    case claim_decision::kSealed:
-      return key_answer::kSealed;
-    case claim_decision::kTableFull:
-      return key_answer::kTableFull;
-    case claim_decision::kNotOwner:
-      return key_answer::kNotOwner;
-    case claim_decision::kNotIssued:
-      return key_answer::kNotIssued;
-    case claim_decision::kDifferentRequest:
-      return key_answer::kDifferentRequest;
-    case claim_decision::kWait:
-    case claim_decision::kOutcomeUnknown:
-      break;
-  }
-  return key_answer::kOutcomeUnknown;
-}
-
-key_claim_answer AnswerAtEnd(const end_message& message) {
-  switch (message.result) {
-    case attempt_end::kAnswered:
-      return {key_answer::kStoredResponse, message.response};
-    case attempt_end::kNotStarted:
-      return {key_answer::kFirstAttemptNotStarted, nullptr};
-    case attempt_end::kUnknown:
-      break;
-  }
-  return {key_answer::kOutcomeUnknown, nullptr};
-}
-
-}  // namespace
+#include "libraries/idempotency/key_answers.h"
 
+namespace bulrushshore {
 key_owner_model::key_owner_model(const idempotency_limits& limits,
                                  std::string incarnation,
                                  time_point start)
@@ -60,7 +19,7 @@
     waiting_.push_back({request, key});
     return std::nullopt;
   }
-  return key_claim_answer{FinalAnswer(decided.decision), decided.response};
+  return key_claim_answer{ToFinalAnswer(decided.decision), decided.response};
 }
 
 std::vector<late_answer> key_owner_model::End(const end_message& message) {
@@ -80,7 +39,7 @@
     if (waiting.key != message.key) {
       return false;
     }
-    answers.push_back({waiting.request, AnswerAtEnd(message)});
+    answers.push_back({waiting.request, AnswerForWaiting(message)});
     return true;
   });
   return answers;
