--- a/libraries/admission/retry_budget.cc
+++ b/libraries/admission/retry_budget.cc
@@ -29,6 +29,11 @@
   Add(1.0);
 }
 
+void retry_budget::SetMaximumTokens(double maximum) {
+  options_.maximum_tokens = maximum;
+  tokens_ = std::min(tokens_, maximum);
+}
+
 void retry_budget::Add(double amount) {
   tokens_ = std::min(options_.maximum_tokens, tokens_ + amount);
 }
--- a/libraries/admission/retry_budget.h
+++ b/libraries/admission/retry_budget.h
@@ -25,6 +25,9 @@
   // Gives back the token of a retry that was not started.
   void ReturnRetry();
 
+  // Changes how many tokens can be saved; surplus ones are lost.
+  void SetMaximumTokens(double maximum);
+
   double tokens() const { return tokens_; }
 
  private:
--- /dev/null
+++ b/libraries/event_loop/http_connection.cc
@@ -0,0 +1,219 @@
+#include "libraries/event_loop/http_connection.h"
+
+#include <cassert>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+#include "libraries/http/message_writer.h"
+
+namespace bulrushshore {
+namespace {
+
+namespace asio = boost::asio;
+
+}  // namespace
+
+std::string_view ExchangeFailureName(exchange_failure failure) {
+  switch (failure) {
+    case exchange_failure::kConnectFailed:
+      return "connect_failed";
+    case exchange_failure::kClosedBeforeResponse:
+      return "closed_before_response";
+    case exchange_failure::kTruncatedResponse:
+      return "truncated_response";
+    case exchange_failure::kMalformedResponse:
+      return "malformed_response";
+  }
+  return "unknown";
+}
+
+http_connection::http_connection(asio::io_context& loop,
+                                 const endpoint& peer,
+                                 const options& settings)
+    : socket_(loop),
+      connect_timer_(loop),
+      peer_(peer),
+      options_(settings),
+      reader_(settings.max_response_bytes) {}
+
+void http_connection::Exchange(const proxy_request& request,
+                               response_filter is_expected,
+                               completion done) {
+  assert(!is_busy_);
+  is_busy_ = true;
+  is_reusable_ = false;
+  idle_lost_ = nullptr;
+  is_head_ = request.method == "HEAD";
+  outgoing_ = SerializeRequest(request);
+  is_expected_ = std::move(is_expected);
+  done_ = std::move(done);
+  if (!was_connected_) {
+    Connect();
+    return;
+  }
+  reader_.Start(is_head_);
+  Send();
+  Receive();
+}
+
+void http_connection::Connect() {
+  const result<asio::ip::tcp::endpoint> peer = ToTcpEndpoint(peer_);
+  if (!IsOk(peer)) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Fail(exchange_failure::kConnectFailed);
+    });
+    return;
+  }
+  connect_timer_.expires_after(options_.connect_timeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](const socket_error& error) {
+        if (!error && !self->was_connected_) {
+          self->Fail(exchange_failure::kConnectFailed);
+        }
+      });
+  socket_.async_connect(ValueOf(peer),
+                        [self = shared_from_this()](const socket_error& error) {
+                          self->OnConnected(error);
+                        });
+}
+
+void http_connection::OnConnected(const socket_error& error) {
+  if (!is_busy_ || !done_) {
+    return;
+  }
+  connect_timer_.cancel();
+  if (error) {
+    Fail(exchange_failure::kConnectFailed);
+    return;
+  }
+  was_connected_ = true;
+  // The connection works without the options; a silent peer is then noticed by
+  // the deadline of the request.
+  (void)ApplySocketOptions(socket_, options_.silence);
+  reader_.Start(is_head_);
+  Send();
+  Receive();
+}
+
+void http_connection::Send() {
+  is_sending_ = true;
+  asio::async_write(
+      socket_, asio::buffer(outgoing_),
+      [self = shared_from_this()](const socket_error& error, std::size_t) {
+        self->is_sending_ = false;
+        if (error) {
+          // The peer may have answered before it stopped reading; the receiving
+          // side decides how the exchange ends.
+          self->is_reusable_ = false;
+        }
+      });
+}
+
+void http_connection::Receive() {
+  if (is_receiving_) {
+    return;
+  }
+  is_receiving_ = true;
+  socket_.async_read_some(
+      asio::buffer(receive_buffer_),
+      [self = shared_from_this()](const socket_error& error, std::size_t size) {
+        self->is_receiving_ = false;
+        self->OnReceived(error, size);
+      });
+}
+
+void http_connection::OnReceived(const socket_error& error, std::size_t size) {
+  if (!is_busy_) {
+    // Bytes without a request belong to no exchange, so the connection cannot
+    // be used again.
+    is_reusable_ = false;
+    const std::function<void()> lost = std::exchange(idle_lost_, nullptr);
+    if (lost) {
+      lost();
+    }
+    return;
+  }
+  if (!done_) {
+    return;
+  }
+  if (!error) {
+    const std::string_view bytes(receive_buffer_.data(), size);
+    if (!TakeExpectedResponse(reader_.Feed(bytes))) {
+      Receive();
+    }
+    return;
+  }
+  const bool is_orderly_end = error == asio::error::eof;
+  if (is_orderly_end && reader_.HasStarted() &&
+      reader_.FinishAtEnd() == response_read_state::kComplete) {
+    received_response received = reader_.TakeResponse();
+    received.is_keep_alive = false;
+    if (is_expected_(received.response)) {
+      Deliver(std::move(received));
+      return;
+    }
+  }
+  Fail(reader_.HasStarted() ? exchange_failure::kTruncatedResponse
+                            : exchange_failure::kClosedBeforeResponse);
+}
+
+bool http_connection::TakeExpectedResponse(response_read_state state) {
+  while (state == response_read_state::kComplete) {
+    received_response received = reader_.TakeResponse();
+    if (is_expected_(received.response)) {
+      Deliver(std::move(received));
+      return true;
+    }
+    reader_.Start(is_head_);
+    state = reader_.FeedBuffered();
+  }
+  if (state == response_read_state::kMalformed) {
+    Fail(exchange_failure::kMalformedResponse);
+    return true;
+  }
+  return false;
+}
+
+void http_connection::Deliver(received_response response) {
+  is_reusable_ =
+      response.is_keep_alive && !reader_.HasExtraBytes() && !is_sending_;
+  Finish(std::move(response));
+}
+
+void http_connection::Fail(exchange_failure failure) {
+  if (!done_) {
+    return;
+  }
+  is_reusable_ = false;
+  Finish(failure);
+}
+
+void http_connection::Finish(exchange_outcome outcome) {
+  is_busy_ = false;
+  const completion done = std::exchange(done_, nullptr);
+  is_expected_ = nullptr;
+  if (!is_reusable_) {
+    Close();
+  }
+  done(std::move(outcome));
+}
+
+void http_connection::Close() {
+  done_ = nullptr;
+  is_expected_ = nullptr;
+  idle_lost_ = nullptr;
+  is_reusable_ = false;
+  is_busy_ = false;
+  connect_timer_.cancel();
+  socket_error ignored;  // The socket is given up whatever its state.
+  socket_.close(ignored);
+}
+
+void http_connection::WatchIdle(std::function<void()> lost) {
+  assert(IsReusable());
+  idle_lost_ = std::move(lost);
+  Receive();
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/event_loop/socket_options.h
@@ -0,0 +1,41 @@
+#ifndef LIBRARIES_EVENT_LOOP_SOCKET_OPTIONS_H_
+#define LIBRARIES_EVENT_LOOP_SOCKET_OPTIONS_H_
+
+#include <chrono>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "libraries/base/endpoint.h"
+#include "libraries/base/result.h"
+
+namespace bulrushshore {
+
+// The errors of sockets and timers, apart from those of this project.
+using socket_error = boost::system::error_code;
+
+// How soon a connection whose peer no longer answers is given up.
+struct silence_limits {
+  // Time without acknowledgement of sent bytes.
+  std::chrono::milliseconds unacknowledged{2000};
+  // Idle time before the first keep-alive probe, and between probes.
+  std::chrono::seconds probe_interval{1};
+  int probes = 2;
+};
+
+// Sends small messages at once and detects a silent peer. A failure is
+// returned; the socket works without the options. Thread safe for unshared
+// sockets. Precondition: the socket is open.
+status ApplySocketOptions(boost::asio::ip::tcp::socket& socket,
+                          const silence_limits& limits);
+
+// Opens, binds and listens. Thread safe.
+result<boost::asio::ip::tcp::acceptor> ListenOn(boost::asio::io_context& loop,
+                                                const endpoint& address);
+
+// Returns the library's form of `address`; nothing for a faulty IP number.
+// Thread safe.
+result<boost::asio::ip::tcp::endpoint> ToTcpEndpoint(const endpoint& address);
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_EVENT_LOOP_SOCKET_OPTIONS_H_
--- /dev/null
+++ b/libraries/gateway/caller_session.cc
@@ -0,0 +1,342 @@
+#include "libraries/gateway/caller_session.h"
+
+#include <algorithm>
+#include <span>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "libraries/gateway/failure_response.h"
+#include "libraries/http/message_writer.h"
+
+namespace bulrushshore {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kRequestTimeout = 408;
+
+// Requests of one connection that run or wait to be written at the same time.
+constexpr std::size_t kMaxPending = 32;
+
+// Callers may reuse a connection until shortly before the idle timeout, so the
+// connection is kept a little longer than that.
+constexpr duration kIdleMargin = std::chrono::milliseconds(500);
+
+// How long a connection is read after its last answer, so that unread bytes do
+// not reset it before the caller has the answer.
+constexpr duration kLingerTime = std::chrono::milliseconds(1000);
+
+constexpr std::chrono::milliseconds kLeavingRetryAfter{20};
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool IsSafeMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+request_size_limits SizeLimits(const caller_limits& limits) {
+  return {limits.max_header_bytes, limits.max_body_bytes};
+}
+
+}  // namespace
+
+caller_session::caller_session(asio::ip::tcp::socket socket,
+                               gateway_state& state,
+                               session_owner& owner)
+    : socket_(std::move(socket)),
+      state_(state),
+      owner_(owner),
+      timer_(state.loop()),
+      reader_(SizeLimits(Limits())),
+      last_activity_(state.time().Now()),
+      request_began_(last_activity_) {}
+
+caller_limits caller_session::Limits() const {
+  return state_.rules() ? state_.rules()->rules().limits : caller_limits{};
+}
+
+void caller_session::Start() {
+  socket_error failure;
+  socket_.non_blocking(true, failure);
+  if (failure || !IsOk(ApplySocketOptions(
+                     socket_, {.unacknowledged = std::chrono::seconds(10),
+                               .probe_interval = std::chrono::seconds(5),
+                               .probes = 2}))) {
+    Close();
+    return;
+  }
+  ArmTimer();
+  WaitForBytes();
+}
+
+void caller_session::WaitForBytes() {
+  if (is_waiting_for_bytes_ || is_closed_) {
+    return;
+  }
+  is_waiting_for_bytes_ = true;
+  // Waiting without a buffer keeps idle connections small.
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const socket_error& error) {
+                       self->is_waiting_for_bytes_ = false;
+                       if (error || self->is_closed_) {
+                         return;
+                       }
+                       self->OnReadable();
+                     });
+}
+
+void caller_session::OnReadable() {
+  const std::span<char> buffer = owner_.ReceiveBuffer();
+  socket_error error;
+  const std::size_t size =
+      socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+  if (error == asio::error::would_block) {
+    WaitForBytes();
+    return;
+  }
+  if (error) {
+    OnPeerGone();
+    return;
+  }
+  last_activity_ = state_.time().Now();
+  if (!is_last_request_read_) {
+    if (!reader_.IsMidRequest()) {
+      request_began_ = last_activity_;
+    }
+    reader_.Append({buffer.data(), size});
+    ReadRequests();
+  }
+  const bool is_full = pending_.size() >= kMaxPending || waiting_;
+  if (!is_full) {
+    WaitForBytes();
+  }
+}
+
+void caller_session::ReadRequests() {
+  // An answer that is made at once leads back here; the outer call goes on.
+  if (is_reading_requests_) {
+    return;
+  }
+  is_reading_requests_ = true;
+  TakeRequests();
+  is_reading_requests_ = false;
+}
+
+void caller_session::TakeRequests() {
+  while (!is_closed_ && !is_last_request_read_ && !waiting_ &&
+         pending_.size() < kMaxPending) {
+    request_read_result next = reader_.Next();
+    if (const request_fault* fault = std::get_if<request_fault>(&next)) {
+      AnswerFault(*fault);
+      return;
+    }
+    received_request* received = std::get_if<received_request>(&next);
+    if (!received) {
+      if (reader_.TakeContinueRequest() && pending_.empty()) {
+        outgoing_ += kContinue;
+        Write();
+      }
+      return;
+    }
+    if (MayStart(*received)) {
+      StartRequest(std::move(*received));
+    } else {
+      waiting_ = std::move(*received);
+    }
+  }
+}
+
+bool caller_session::MayStart(const received_request& next) const {
+  return pending_.empty() ||
+         (IsSafeMethod(next.request.method) &&
+          std::all_of(pending_.begin(), pending_.end(),
+                      [](const std::shared_ptr<pending_request>& entry) {
+                        return IsSafeMethod(entry->method);
+                      }));
+}
+
+void caller_session::StartRequest(received_request received) {
+  const std::shared_ptr<pending_request> entry =
+      std::make_shared<pending_request>();
+  entry->method = received.request.method;
+  entry->closes_connection = !received.is_keep_alive || owner_.IsLeaving();
+  is_last_request_read_ = entry->closes_connection;
+  pending_.push_back(entry);
+  if (owner_.IsRefusing()) {
+    OnAnswered(entry, MakeRefusal("leaving", kLeavingRetryAfter));
+    return;
+  }
+  entry->work = std::make_shared<exchange>(
+      state_, std::move(received.request), request_began_,
+      [self = shared_from_this(), entry](proxy_response response) {
+        self->OnAnswered(entry, std::move(response));
+      });
+  entry->work->Start();
+}
+
+void caller_session::AnswerFault(const request_fault& fault) {
+  is_last_request_read_ = true;
+  state_.telemetry().log().Write(
+      log_level::kWarning, "request_rejected",
+      {{"status", fault.status}, {"reason", fault.reason}});
+  const std::shared_ptr<pending_request> entry =
+      std::make_shared<pending_request>();
+  entry->closes_connection = true;
+  pending_.push_back(entry);
+  OnAnswered(entry, MakeRequestFault(fault.status, "malformed_request"));
+}
+
+void caller_session::OnAnswered(const std::shared_ptr<pending_request>& request,
+                                proxy_response response) {
+  if (is_closed_) {
+    return;
+  }
+  request->response = std::move(response);
+  QueueAnswers();
+  if (is_closed_) {
+    return;
+  }
+  if (waiting_ && MayStart(*waiting_)) {
+    received_request next = std::move(*waiting_);
+    waiting_.reset();
+    StartRequest(std::move(next));
+  }
+  ReadRequests();
+  WaitForBytes();
+}
+
+void caller_session::QueueAnswers() {
+  while (!pending_.empty() && pending_.front()->response) {
+    const std::shared_ptr<pending_request> entry = pending_.front();
+    pending_.pop_front();
+    if (is_sending_done_) {
+      continue;
+    }
+    entry->closes_connection =
+        entry->closes_connection || (owner_.IsLeaving() && pending_.empty());
+    outgoing_ += SerializeResponse(*entry->response, entry->method,
+                                   entry->closes_connection);
+    if (entry->closes_connection) {
+      is_last_request_read_ = true;
+      is_sending_done_ = true;
+    }
+  }
+  Write();
+}
+
+void caller_session::Write() {
+  if (!writing_.empty() || outgoing_.empty()) {
+    return;
+  }
+  writing_ = std::exchange(outgoing_, {});
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self = shared_from_this()](const socket_error& error, std::size_t) {
+        self->writing_.clear();
+        self->OnWritten(error);
+      });
+}
+
+void caller_session::OnWritten(const socket_error& error) {
+  if (is_closed_) {
+    return;
+  }
+  if (error) {
+    OnPeerGone();
+    return;
+  }
+  last_activity_ = state_.time().Now();
+  if (!outgoing_.empty()) {
+    Write();
+    return;
+  }
+  if (is_sending_done_) {
+    FinishSending();
+  }
+}
+
+void caller_session::FinishSending() {
+  socket_error ignored;  // The caller may have closed the connection already.
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  timer_.expires_after(kLingerTime);
+  timer_.async_wait([self = shared_from_this()](const socket_error& error) {
+    if (!error) {
+      self->Close();
+    }
+  });
+  WaitForBytes();
+}
+
+void caller_session::OnPeerGone() {
+  const std::deque<std::shared_ptr<pending_request>> abandoned =
+      std::exchange(pending_, {});
+  Close();
+  for (const std::shared_ptr<pending_request>& entry : abandoned) {
+    if (entry->work) {
+      entry->work->OnCallerGone();
+    }
+  }
+}
+
+void caller_session::CloseIfIdle() {
+  if (IsIdle()) {
+    Close();
+  }
+}
+
+void caller_session::Close() {
+  if (is_closed_) {
+    return;
+  }
+  is_closed_ = true;
+  timer_.cancel();
+  socket_error ignored;  // The socket is given up whatever its state.
+  socket_.close(ignored);
+  owner_.OnSessionClosed(this);
+}
+
+bool caller_session::IsIdle() const {
+  return pending_.empty() && writing_.empty() && !reader_.IsMidRequest() &&
+         !waiting_;
+}
+
+void caller_session::ArmTimer() {
+  const caller_limits limits = Limits();
+  const bool is_receiving = reader_.IsMidRequest() && pending_.empty();
+  const time_point next =
+      is_receiving ? request_began_ + limits.header_timeout
+                   : last_activity_ + limits.idle_timeout + kIdleMargin;
+  timer_.expires_at(
+      std::max(next, state_.time().Now() + std::chrono::milliseconds(100)));
+  timer_.async_wait([self = shared_from_this()](const socket_error& error) {
+    if (!error && !self->is_closed_) {
+      self->OnTimer();
+    }
+  });
+}
+
+void caller_session::OnTimer() {
+  if (is_sending_done_) {
+    return;
+  }
+  const time_point now = state_.time().Now();
+  const caller_limits limits = Limits();
+  const bool is_quiet =
+      now - last_activity_ >= limits.idle_timeout + kIdleMargin;
+  if (is_quiet && (IsIdle() || !writing_.empty())) {
+    OnPeerGone();
+    return;
+  }
+  if (reader_.IsMidRequest() && pending_.empty() &&
+      now - last_activity_ >= limits.header_timeout) {
+    AnswerFault({kRequestTimeout, "request not received in time"});
+    return;
+  }
+  ArmTimer();
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/gateway/exchange.cc
@@ -0,0 +1,410 @@
+#include "libraries/gateway/exchange.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <variant>
+
+#include <xxhash.h>
+
+#include "libraries/gateway/failure_response.h"
+
+namespace bulrushshore {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+
+// An answer that a target makes just at the deadline is still passed on.
+constexpr duration kAnswerGrace = std::chrono::milliseconds(100);
+
+// Time that the answer needs to reach the caller before it stops waiting.
+constexpr duration kDeliveryTime = std::chrono::milliseconds(30);
+
+// A target cannot use less time than this for an answer.
+constexpr duration kMinUsefulTime = std::chrono::milliseconds(15);
+
+// A lost connection that had been idle says little about its target if it ends
+// within this time of the request.
+constexpr duration kStaleConnectionTime = std::chrono::milliseconds(60);
+
+// When a caller whose request found no capacity or no target should come back.
+// The random part keeps callers that were refused together apart.
+constexpr std::int64_t kRetryAfterMs = 200;
+constexpr std::uint64_t kRetryAfterSpreadMs = 400;
+
+std::uint64_t FingerprintOf(const proxy_request& request) {
+  const std::string text =
+      request.method + ' ' + request.target + '\n' + request.body;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+target_observation ObservationOf(exchange_failure failure) {
+  switch (failure) {
+    case exchange_failure::kConnectFailed:
+      return target_observation::kConnectFailed;
+    case exchange_failure::kClosedBeforeResponse:
+      return target_observation::kConnectionLost;
+    case exchange_failure::kTruncatedResponse:
+    case exchange_failure::kMalformedResponse:
+      return target_observation::kBadAnswer;
+  }
+  return target_observation::kConnectionLost;
+}
+
+}  // namespace
+
+exchange::exchange(gateway_state& state,
+                   proxy_request request,
+                   time_point arrival,
+                   completion done)
+    : state_(state),
+      request_(std::move(request)),
+      arrival_(arrival),
+      done_(std::move(done)),
+      timer_(state.loop()) {}
+
+void exchange::Start() {
+  attempt_id_ =
+      request_.headers.Find(state_.options().headers.attempt_id).value_or("");
+  if (!FindRoute()) {
+    return;
+  }
+  SetDeadlines();
+  service_ = ChooseService(*route_, state_.random());
+  if (IsHeldBack()) {
+    return;
+  }
+  retry_budget& budget = state_.BudgetOf(service_);
+  budget.RecordFirstAttempt();
+  plan_.emplace(attempt_rules{route_->is_idempotent, route_->max_attempts},
+                budget);
+  overdue_after_ =
+      OverdueAfter(state_.durations()
+                       .ExpectedDuration(route_->name)
+                       .value_or(duration(route_->target_latency) / 3),
+                   route_->target_latency);
+  StartAttempt("first");
+}
+
+bool exchange::FindRoute() {
+  rules_ = state_.rules();
+  if (!rules_) {
+    Refuse("no_rules", std::chrono::milliseconds(kRetryAfterMs));
+    return false;
+  }
+  const std::optional<std::string> host = request_.headers.Find("Host");
+  if (!host) {
+    Finish(MakeRequestFault(kBadRequest, "host_missing"), "refused",
+           "host_missing");
+    return false;
+  }
+  route_ = rules_->Find(*host, request_.target);
+  if (!route_) {
+    Finish(MakeRequestFault(kNotFound, "no_route"), "refused", "no_route");
+    return false;
+  }
+  return true;
+}
+
+void exchange::SetDeadlines() {
+  deadline_ = arrival_ + route_->timeout;
+  answer_by_ = deadline_ + kAnswerGrace;
+  const std::optional<std::string> text =
+      request_.headers.Find(state_.options().headers.deadline);
+  const std::optional<std::uint64_t> milliseconds =
+      text ? ParseDecimal(*text) : std::nullopt;
+  // A day bounds the value, so that the sum below cannot overflow.
+  constexpr std::uint64_t kMaxDeadlineMs = 86'400'000;
+  if (milliseconds && *milliseconds < kMaxDeadlineMs) {
+    const time_point caller_leaves =
+        arrival_ + std::chrono::milliseconds(*milliseconds);
+    deadline_ = std::min(deadline_, caller_leaves);
+    answer_by_ = std::min(answer_by_, caller_leaves - kDeliveryTime);
+  }
+}
+
+bool exchange::IsHeldBack() {
+  fingerprint_ = FingerprintOf(request_);
+  if (!state_.crashes().HeldUntil(fingerprint_, state_.time().Now())) {
+    return false;
+  }
+  Refuse("held_back", std::nullopt);
+  return true;
+}
+
+void exchange::StartAttempt(std::string_view cause) {
+  const time_point now = state_.time().Now();
+  if (deadline_ - now < kMinUsefulTime) {
+    Follow(plan_->OnNoTarget());
+    return;
+  }
+  const std::optional<registered_target> chosen =
+      state_.ChooseTarget(service_, tried_ids_);
+  if (!chosen) {
+    Follow(plan_->OnNoTarget());
+    return;
+  }
+  const target_entry& target = chosen->entry;
+  plan_->OnStart();
+  tried_ids_.push_back(target.id);
+  state_.telemetry().OnPlaced(
+      attempt_id_, target.id, static_cast<std::uint32_t>(tried_ids_.size()),
+      state_.evidence().Suspicion({target.id, target.started_at_unix_ms}, now),
+      cause);
+  const std::shared_ptr<attempt> started = std::make_shared<attempt>();
+  started->target = target;
+  started->connection =
+      state_.connections().Take(target, route_->is_idempotent);
+  started->was_reused = started->connection->WasConnected();
+  started->started = now;
+  attempts_.push_back(started);
+  state_.evidence().BeginRequest(target.id);
+  started->connection->Exchange(
+      RequestFor(target),
+      [this, self = shared_from_this()](const proxy_response& response) {
+        return BelongsToAttempt(response, state_.options().headers,
+                                attempt_id_);
+      },
+      [self = shared_from_this(), started](exchange_outcome outcome) {
+        self->OnOutcome(started, std::move(outcome));
+      });
+  ArmTimer();
+}
+
+proxy_request exchange::RequestFor(const target_entry& target) const {
+  proxy_request sent = request_;
+  const std::chrono::milliseconds left =
+      ToMilliseconds(deadline_ - state_.time().Now());
+  sent.headers.Set(state_.options().headers.deadline,
+                   std::to_string(left.count()));
+  sent.headers.Set(state_.options().headers.expected_target, target.id);
+  return sent;
+}
+
+void exchange::OnOutcome(const std::shared_ptr<attempt>& ended,
+                         exchange_outcome outcome) {
+  if (ended->is_done) {
+    return;
+  }
+  ended->is_done = true;
+  state_.evidence().EndRequest(ended->target.id);
+  attempt_end end = attempt_end::kUnknown;
+  if (received_response* received = std::get_if<received_response>(&outcome)) {
+    state_.connections().Return(ended->target, ended->connection,
+                                received->keep_alive_timeout);
+    end = OnAnswer(*ended, std::move(*received));
+  } else {
+    end = OnFailure(*ended, std::get<exchange_failure>(outcome));
+  }
+  ended->connection.reset();
+  const next_step step = plan_->OnEnd(end);
+  if (!is_finished_) {
+    Follow(is_caller_gone_ && step == next_step::kTryAnotherTarget
+               ? plan_->OnNoTarget()
+               : step);
+  }
+}
+
+attempt_end exchange::OnAnswer(const attempt& ended,
+                               received_response received) {
+  const answer_verdict verdict =
+      JudgeAnswer(received.response, state_.options().headers, attempt_id_);
+  if (verdict.is_other_target) {
+    state_.Disown(ended.target);
+    return verdict.end;
+  }
+  const time_point now = state_.time().Now();
+  switch (verdict.end) {
+    case attempt_end::kAnswered:
+      state_.Observe(ended.target, target_observation::kSuccess);
+      state_.durations().Record(route_->name, now - ended.started);
+      state_.crashes().RecordCompleted(fingerprint_, now);
+      answer_ = std::move(received.response);
+      break;
+    case attempt_end::kErrorAnswer:
+      ReportObservation(ended, target_observation::kFailure);
+      state_.crashes().RecordCompleted(fingerprint_, now);
+      error_answer_ = std::move(received.response);
+      break;
+    case attempt_end::kNotExecuted:
+      ReportObservation(ended, target_observation::kRefused);
+      break;
+    case attempt_end::kNotSent:
+    case attempt_end::kUnknown:
+      ReportObservation(ended, target_observation::kBadAnswer);
+      break;
+  }
+  return verdict.end;
+}
+
+attempt_end exchange::OnFailure(const attempt& ended,
+                                exchange_failure failure) {
+  const duration elapsed = state_.time().Now() - ended.started;
+  target_observation observation = ObservationOf(failure);
+  const bool is_stale_connection =
+      observation == target_observation::kConnectionLost && ended.was_reused &&
+      elapsed < kStaleConnectionTime;
+  if (is_stale_connection) {
+    observation = target_observation::kReusedConnectionLost;
+  }
+  ReportObservation(ended, observation);
+  if (failure == exchange_failure::kConnectFailed) {
+    state_.connections().Drop(ended.target.id);
+    return attempt_end::kNotSent;
+  }
+  if (observation == target_observation::kConnectionLost) {
+    state_.RecordLoss(fingerprint_, ended.target.id);
+  }
+  return attempt_end::kUnknown;
+}
+
+void exchange::ReportObservation(const attempt& ended,
+                                 target_observation observation) {
+  const time_point now = state_.time().Now();
+  state_.telemetry().OnAttemptFailed(
+      attempt_id_, ended.target.id, observation,
+      state_.evidence().Suspicion(
+          {ended.target.id, ended.target.started_at_unix_ms}, now),
+      now - ended.started);
+  state_.Observe(ended.target, observation);
+}
+
+void exchange::Follow(next_step step) {
+  switch (step) {
+    case next_step::kDeliver:
+      Finish(std::move(*answer_), "answered", "");
+      return;
+    case next_step::kTryAnotherTarget:
+      StartAttempt("again");
+      return;
+    case next_step::kWait:
+      ArmTimer();
+      return;
+    case next_step::kDeliverErrorAnswer:
+      Finish(std::move(*error_answer_), "answered", "target_error");
+      return;
+    case next_step::kRefuse:
+      Refuse(
+          tried_ids_.empty() ? "no_target" : "targets_refused",
+          std::chrono::milliseconds(
+              kRetryAfterMs + static_cast<std::int64_t>(state_.random().Uniform(
+                                  kRetryAfterSpreadMs))));
+      return;
+    case next_step::kFail:
+      Finish(MakeUnknownOutcome(kBadGateway, "target_failed"), "unknown",
+             "target_failed");
+      return;
+  }
+}
+
+void exchange::ArmTimer() {
+  if (is_finished_) {
+    return;
+  }
+  time_point next = answer_by_;
+  for (const std::shared_ptr<attempt>& entry : attempts_) {
+    if (!entry->is_done && !entry->is_overdue) {
+      next = std::min(next, entry->started + overdue_after_);
+    }
+  }
+  timer_.expires_at(next);
+  timer_.async_wait([self = shared_from_this()](const socket_error& error) {
+    if (!error) {
+      self->OnTimer();
+    }
+  });
+}
+
+void exchange::OnTimer() {
+  if (is_finished_) {
+    return;
+  }
+  const time_point now = state_.time().Now();
+  if (now >= answer_by_) {
+    const bool may_have_run = plan_->MayHaveRun();
+    CancelAttempts();
+    if (error_answer_) {
+      Finish(std::move(*error_answer_), "answered", "target_error");
+    } else if (may_have_run) {
+      Finish(MakeUnknownOutcome(kGatewayTimeout, "timeout"), "unknown",
+             "timeout");
+    } else {
+      Refuse("timeout_before_start", std::nullopt);
+    }
+    return;
+  }
+  const std::vector<std::shared_ptr<attempt>> present = attempts_;
+  for (const std::shared_ptr<attempt>& entry : present) {
+    if (!entry->is_done && !entry->is_overdue &&
+        now >= entry->started + overdue_after_) {
+      OnOverdue(*entry);
+    }
+  }
+  ArmTimer();
+}
+
+void exchange::OnOverdue(attempt& late) {
+  late.is_overdue = true;
+  ReportObservation(late, target_observation::kOverdue);
+  if (!is_caller_gone_ && plan_->TryStartSecondAttempt()) {
+    StartAttempt("overdue");
+  }
+}
+
+void exchange::CancelAttempts() {
+  for (const std::shared_ptr<attempt>& entry : attempts_) {
+    if (entry->is_done) {
+      continue;
+    }
+    entry->is_done = true;
+    state_.evidence().EndRequest(entry->target.id);
+    entry->connection->Close();
+    entry->connection.reset();
+  }
+}
+
+void exchange::OnCallerGone() {
+  if (is_finished_) {
+    return;
+  }
+  is_caller_gone_ = true;
+  done_ = nullptr;
+  if (IsIdempotent()) {
+    CancelAttempts();
+    Finish({}, "caller_gone", "");
+  }
+}
+
+void exchange::Refuse(std::string_view reason,
+                      std::optional<std::chrono::milliseconds> retry_after) {
+  Finish(MakeRefusal(reason, retry_after), "not_run", reason);
+}
+
+void exchange::Finish(proxy_response response,
+                      std::string_view outcome,
+                      std::string_view reason) {
+  assert(!is_finished_);
+  is_finished_ = true;
+  timer_.cancel();
+  CancelAttempts();
+  state_.telemetry().OnFinished(
+      {.attempt_id = attempt_id_,
+       .route = route_ ? std::string_view(route_->name) : "",
+       .service = service_,
+       .target = tried_ids_.empty() ? "" : std::string_view(tried_ids_.back()),
+       .outcome = outcome,
+       .reason = reason,
+       .status = response.status,
+       .attempts = static_cast<std::uint32_t>(tried_ids_.size()),
+       .rules_version = rules_ ? rules_->rules().version : 0,
+       .elapsed = state_.time().Now() - arrival_});
+  const completion done = std::exchange(done_, nullptr);
+  if (done) {
+    done(std::move(response));
+  }
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/gateway/failure_response.h
@@ -0,0 +1,26 @@
+#ifndef LIBRARIES_GATEWAY_FAILURE_RESPONSE_H_
+#define LIBRARIES_GATEWAY_FAILURE_RESPONSE_H_
+
+#include <chrono>
+#include <optional>
+#include <string_view>
+
+#include "libraries/http/http_message.h"
+
+namespace bulrushshore {
+
+// Returns the 503 answer to a request that has not run and will not run.
+// `retry_after` tells the caller when to come back. Thread safe.
+proxy_response MakeRefusal(
+    std::string_view reason,
+    std::optional<std::chrono::milliseconds> retry_after);
+
+// Returns the 502 or 504 answer to a request that may have run. Thread safe.
+proxy_response MakeUnknownOutcome(int status, std::string_view reason);
+
+// Returns the answer to a request that is itself at fault. Thread safe.
+proxy_response MakeRequestFault(int status, std::string_view reason);
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_GATEWAY_FAILURE_RESPONSE_H_
--- /dev/null
+++ b/libraries/gateway/gateway.cc
@@ -0,0 +1,93 @@
+#include "libraries/gateway/gateway.h"
+
+#include <utility>
+#include <vector>
+
+#include "libraries/event_loop/socket_options.h"
+
+namespace bulrushshore {
+namespace {
+
+namespace asio = boost::asio;
+
+// Pause after a failed accept, for example without free descriptors.
+constexpr duration kAcceptPause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+gateway::gateway(gateway_state& state)
+    : state_(state), accept_timer_(state.loop()) {}
+
+gateway::~gateway() {
+  const std::unordered_map<const caller_session*,
+                           std::shared_ptr<caller_session>>
+      open = sessions_;
+  for (const auto& [key, session] : open) {
+    session->Close();
+  }
+}
+
+status gateway::Listen(const endpoint& address) {
+  result<asio::ip::tcp::acceptor> acceptor = ListenOn(state_.loop(), address);
+  if (!IsOk(acceptor)) {
+    return ErrorOf(acceptor);
+  }
+  acceptor_.emplace(TakeValue(std::move(acceptor)));
+  Accept();
+  return OkStatus();
+}
+
+void gateway::Accept() {
+  acceptor_->async_accept(
+      [this](const socket_error& error, asio::ip::tcp::socket socket) {
+        OnAccepted(error, std::move(socket));
+      });
+}
+
+void gateway::OnAccepted(const socket_error& error,
+                         asio::ip::tcp::socket socket) {
+  if (error == asio::error::operation_aborted) {
+    return;
+  }
+  if (error) {
+    state_.telemetry().log().Write(log_level::kWarning, "accept_failed",
+                                   {{"error", error.message()}});
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([this](const socket_error& cancelled) {
+      if (!cancelled) {
+        Accept();
+      }
+    });
+    return;
+  }
+  const std::shared_ptr<caller_session> session =
+      std::make_shared<caller_session>(std::move(socket), state_, *this);
+  sessions_.emplace(session.get(), session);
+  session->Start();
+  Accept();
+}
+
+void gateway::CloseIdleSessions() {
+  std::vector<std::shared_ptr<caller_session>> open;
+  open.reserve(sessions_.size());
+  for (const auto& [key, session] : sessions_) {
+    open.push_back(session);
+  }
+  for (const std::shared_ptr<caller_session>& session : open) {
+    session->CloseIfIdle();
+  }
+}
+
+std::size_t gateway::UnansweredRequests() const {
+  std::size_t count = 0;
+  for (const auto& [key, session] : sessions_) {
+    count += session->UnansweredRequests();
+  }
+  return count;
+}
+
+void gateway::OnSessionClosed(const caller_session* session) {
+  sessions_.erase(session);
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/gateway/gateway.h
@@ -0,0 +1,69 @@
+#ifndef LIBRARIES_GATEWAY_GATEWAY_H_
+#define LIBRARIES_GATEWAY_GATEWAY_H_
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "libraries/base/endpoint.h"
+#include "libraries/base/result.h"
+#include "libraries/gateway/caller_session.h"
+#include "libraries/gateway/gateway_state.h"
+
+namespace bulrushshore {
+
+// Accepts the connections of callers and ends them when the host leaves. All
+// calls on the event loop's thread. Not thread safe.
+class gateway : public session_owner {
+ public:
+  // Precondition: `state` outlives this object.
+  explicit gateway(gateway_state& state);
+  ~gateway() override;
+  gateway(const gateway&) = delete;
+  gateway& operator=(const gateway&) = delete;
+
+  // Starts to accept connections.
+  status Listen(const endpoint& address);
+
+  // Tells callers to use other hosts; requests are still served.
+  void BeginLeaving() { is_leaving_ = true; }
+
+  // Refuses requests that arrive from now on.
+  void BeginRefusing() { is_refusing_ = true; }
+
+  // Closes the connections that carry no request.
+  void CloseIdleSessions();
+
+  // Returns the requests that were read and not answered yet.
+  std::size_t UnansweredRequests() const;
+
+  std::size_t session_count() const { return sessions_.size(); }
+
+  bool IsLeaving() const override { return is_leaving_; }
+  bool IsRefusing() const override { return is_refusing_; }
+  std::span<char> ReceiveBuffer() override { return receive_buffer_; }
+  void OnSessionClosed(const caller_session* session) override;
+
+ private:
+  void Accept();
+  void OnAccepted(const socket_error& error,
+                  boost::asio::ip::tcp::socket socket);
+
+  gateway_state& state_;
+  std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
+  boost::asio::steady_timer accept_timer_;
+  std::unordered_map<const caller_session*, std::shared_ptr<caller_session>>
+      sessions_;
+  std::array<char, std::size_t{32} * 1024> receive_buffer_{};
+  bool is_leaving_ = false;
+  bool is_refusing_ = false;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/libraries/gateway/gateway_state.h
@@ -0,0 +1,136 @@
+#ifndef LIBRARIES_GATEWAY_GATEWAY_STATE_H_
+#define LIBRARIES_GATEWAY_GATEWAY_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "libraries/admission/crash_guard.h"
+#include "libraries/admission/retry_budget.h"
+#include "libraries/admission/work_classifier.h"
+#include "libraries/base/clock.h"
+#include "libraries/base/random_source.h"
+#include "libraries/gateway/gateway_telemetry.h"
+#include "libraries/gateway/target_answer.h"
+#include "libraries/gateway/target_connection_pool.h"
+#include "libraries/placement/evidence_board.h"
+#include "libraries/placement/target_chooser.h"
+#include "libraries/rules/rule_index.h"
+#include "libraries/targets/target_registry.h"
+
+namespace bulrushshore {
+
+// Passes on to other hosts what this host learned about targets. Called on the
+// event loop's thread.
+class evidence_reporter {
+ public:
+  virtual ~evidence_reporter() = default;
+
+  // A request ended badly at a target.
+  virtual void ReportObservation(const evidence_board::target_key& target,
+                                 target_observation observation) = 0;
+
+  // A target was lost while it ran the request with this fingerprint.
+  virtual void ReportLoss(std::uint64_t fingerprint,
+                          std::string_view target_id) = 0;
+};
+
+struct gateway_options {
+  gateway_header_names headers;
+  // Repeats of a service's requests that the whole fleet may send, as a share
+  // of the requests and as a number on top.
+  double retry_ratio = 0.2;
+  double retry_allowance = 10.0;
+  target_chooser_options placement;
+  evidence_options evidence;
+  target_registry_options registry;
+  crash_guard_options crash_guard;
+  connection_pool_options connections;
+};
+
+// How many hosts share the load and the retry allowance.
+struct fleet_size {
+  std::size_t serving_hosts = 1;
+  std::size_t zone_count = 1;
+  bool is_serving = true;
+};
+
+// What all requests of this host share: the rules in force, the targets, what
+// is known of them, and the connections. All calls on the event loop's thread.
+// Not thread safe.
+class gateway_state {
+ public:
+  // Precondition: the references outlive this object.
+  gateway_state(boost::asio::io_context& loop,
+                const clock& time,
+                random_source& random,
+                gateway_telemetry& telemetry,
+                evidence_reporter& reporter,
+                const gateway_options& options);
+
+  // Puts a version of the rules in force; returns false if it is not newer.
+  bool SetRules(std::shared_ptr<const rule_set> rules);
+
+  // Returns the rules in force, or null before the first ones.
+  const std::shared_ptr<const rule_index>& rules() const { return rules_; }
+
+  void SetFleet(const fleet_size& fleet, std::string_view zone);
+
+  target_registry& targets() { return targets_; }
+  evidence_board& evidence() { return evidence_; }
+  crash_guard& crashes() { return crashes_; }
+  work_classifier& durations() { return durations_; }
+  target_connection_pool& connections() { return connections_; }
+  gateway_telemetry& telemetry() { return telemetry_; }
+  random_source& random() { return random_; }
+  boost::asio::io_context& loop() { return loop_; }
+  const clock& time() const { return time_; }
+  const gateway_options& options() const { return options_; }
+
+  // Returns the retry budget of a service; the reference stays valid.
+  retry_budget& BudgetOf(std::string_view service);
+
+  // Chooses a target of the service that is not excluded.
+  std::optional<registered_target> ChooseTarget(
+      std::string_view service,
+      std::span<const std::string> excluded_ids);
+
+  // Enters what this host saw of a target and tells the other hosts.
+  void Observe(const target_entry& target, target_observation observation);
+
+  // Enters that a target was lost with a request.
+  void RecordLoss(std::uint64_t fingerprint, std::string_view target_id);
+
+  // Takes a target out of use whose address belongs to another one.
+  void Disown(const target_entry& target);
+
+ private:
+  double RetryAllowance() const;
+
+  boost::asio::io_context& loop_;
+  const clock& time_;
+  random_source& random_;
+  gateway_telemetry& telemetry_;
+  evidence_reporter& reporter_;
+  gateway_options options_;
+  fleet_size fleet_;
+  std::shared_ptr<const rule_index> rules_;
+  target_registry targets_;
+  evidence_board evidence_;
+  target_chooser chooser_;
+  crash_guard crashes_;
+  work_classifier durations_;
+  std::map<std::string, retry_budget, std::less<>> budgets_;
+  target_connection_pool connections_;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_GATEWAY_GATEWAY_STATE_H_
--- a/libraries/proxy/http_message.cc
+++ b/libraries/http/http_message.cc
@@ -1,4 +1,4 @@
-#include "libraries/proxy/http_message.h"
+#include "libraries/http/http_message.h"
 
 #include <algorithm>
 #include <array>
--- a/libraries/proxy/http_message.h
+++ b/libraries/http/http_message.h
@@ -1,5 +1,5 @@
-#ifndef LIBRARIES_PROXY_HTTP_MESSAGE_H_
-#define LIBRARIES_PROXY_HTTP_MESSAGE_H_
+#ifndef LIBRARIES_HTTP_HTTP_MESSAGE_H_
+#define LIBRARIES_HTTP_HTTP_MESSAGE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -78,4 +78,4 @@
 
 }  // namespace bulrushshore
 
-#endif  // LIBRARIES_PROXY_HTTP_MESSAGE_H_
+#endif  // LIBRARIES_HTTP_HTTP_MESSAGE_H_
--- /dev/null
+++ b/libraries/http/response_reader.cc
@@ -0,0 +1,130 @@
+#include "libraries/http/response_reader.h"
+
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace bulrushshore {
+namespace {
+
+namespace beast_http = boost::beast::http;
+using beast_response_parser =
+    beast_http::response_parser<beast_http::string_body>;
+
+constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+constexpr unsigned kFirstFinalStatus = 200;
+
+std::string_view ToStringView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::optional<std::chrono::seconds> ParseKeepAliveTimeout(
+    std::string_view value) {
+  constexpr std::string_view kParameter = "timeout=";
+  const std::size_t start = value.find(kParameter);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value.substr(start + kParameter.size());
+  std::int64_t seconds = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+struct response_reader::parser_state {
+  beast_response_parser parser;
+};
+
+response_reader::response_reader(std::uint64_t max_body_bytes)
+    : max_body_bytes_(max_body_bytes) {}
+
+response_reader::~response_reader() = default;
+
+void response_reader::Start(bool is_head) {
+  is_head_ = is_head;
+  has_started_ = false;
+  ResetParser();
+}
+
+void response_reader::ResetParser() {
+  state_ = std::make_unique<parser_state>();
+  state_->parser.eager(true);
+  state_->parser.header_limit(kMaxHeaderBytes);
+  state_->parser.body_limit(max_body_bytes_);
+  state_->parser.skip(is_head_);
+}
+
+bool response_reader::IsInterim() const {
+  return state_->parser.is_header_done() &&
+         state_->parser.get().result_int() < kFirstFinalStatus;
+}
+
+response_read_state response_reader::Feed(std::string_view bytes) {
+  assert(state_);
+  buffer_.append(bytes);
+  while (!buffer_.empty()) {
+    has_started_ = true;
+    boost::beast::error_code error;
+    const std::size_t used = state_->parser.put(
+        boost::asio::const_buffer(buffer_.data(), buffer_.size()), error);
+    buffer_.erase(0, used);
+    if (error == beast_http::error::need_more) {
+      return response_read_state::kIncomplete;
+    }
+    if (error) {
+      return response_read_state::kMalformed;
+    }
+    if (IsInterim()) {
+      ResetParser();
+      continue;
+    }
+    if (state_->parser.is_done()) {
+      return response_read_state::kComplete;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  return response_read_state::kIncomplete;
+}
+
+response_read_state response_reader::FinishAtEnd() {
+  assert(state_);
+  if (!state_->parser.is_header_done()) {
+    return response_read_state::kMalformed;
+  }
+  boost::beast::error_code error;
+  state_->parser.put_eof(error);
+  return error || !state_->parser.is_done() ? response_read_state::kMalformed
+                                            : response_read_state::kComplete;
+}
+
+received_response response_reader::TakeResponse() {
+  received_response received;
+  received.is_keep_alive = state_->parser.keep_alive();
+  beast_http::response<beast_http::string_body> message =
+      state_->parser.release();
+  state_.reset();
+  received.response.status = static_cast<int>(message.result_int());
+  for (const beast_http::fields::value_type& field : message.base()) {
+    received.response.headers.Add(ToStringView(field.name_string()),
+                                  ToStringView(field.value()));
+  }
+  received.keep_alive_timeout = ParseKeepAliveTimeout(
+      ToStringView(message[beast_http::field::keep_alive]));
+  RemoveHopByHopHeaders(received.response.headers);
+  received.response.body = std::move(message.body());
+  return received;
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/http/response_reader.h
@@ -0,0 +1,71 @@
+#ifndef LIBRARIES_HTTP_RESPONSE_READER_H_
+#define LIBRARIES_HTTP_RESPONSE_READER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libraries/http/http_message.h"
+
+namespace bulrushshore {
+
+// A whole response, with the headers that concern its connection removed.
+struct received_response {
+  proxy_response response;
+  bool is_keep_alive = true;
+  // How long the sender keeps the idle connection open, if it says so.
+  std::optional<std::chrono::seconds> keep_alive_timeout;
+};
+
+enum class response_read_state { kIncomplete, kComplete, kMalformed };
+
+// Reads the responses of one connection, one after the other. Not thread safe.
+class response_reader {
+ public:
+  explicit response_reader(std::uint64_t max_body_bytes);
+  ~response_reader();
+  response_reader(const response_reader&) = delete;
+  response_reader& operator=(const response_reader&) = delete;
+
+  // Prepares for the next response. `is_head` says that it has no body.
+  void Start(bool is_head);
+
+  // Takes bytes of the connection. Interim (1xx) responses are passed over.
+  // Precondition: Start() was called, and no response is complete.
+  response_read_state Feed(std::string_view bytes);
+
+  // Looks for a further response in the bytes behind a taken one.
+  // Precondition: Start() was called after TakeResponse().
+  response_read_state FeedBuffered() { return Feed({}); }
+
+  // The connection ended in order, which completes a response without length.
+  response_read_state FinishAtEnd();
+
+  // Returns the response. Precondition: the state is kComplete.
+  received_response TakeResponse();
+
+  // Returns true if bytes arrived behind the last complete response.
+  bool HasExtraBytes() const { return !buffer_.empty(); }
+
+  // Returns true if a part of the present response has arrived.
+  bool HasStarted() const { return has_started_; }
+
+ private:
+  struct parser_state;
+
+  bool IsInterim() const;
+  void ResetParser();
+
+  std::uint64_t max_body_bytes_;
+  bool is_head_ = false;
+  bool has_started_ = false;
+  std::string buffer_;
+  std::unique_ptr<parser_state> state_;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_HTTP_RESPONSE_READER_H_
--- /dev/null
+++ b/libraries/peers/host_directory.cc
@@ -0,0 +1,249 @@
+#include "libraries/peers/host_directory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace bulrushshore {
+namespace {
+
+constexpr int kPingsBeforeLoss = 2;
+
+// One step in this number asks a host of another zone.
+constexpr std::uint64_t kOtherZoneInterval = 4;
+
+// If fewer than this share of the hosts answer, this host is likely to be the
+// one that is cut off, and its view is not used.
+constexpr double kMinAnsweringShare = 0.34;
+
+std::uint64_t RankOf(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+}  // namespace
+
+host_directory::host_directory(host_entry self,
+                               random_source& random,
+                               const host_directory_options& options)
+    : self_(std::move(self)), random_(random), options_(options) {
+  Add(self_);
+}
+
+void host_directory::Add(const host_entry& host) {
+  record& known = hosts_[host.id];
+  if (known.entry == host) {
+    return;
+  }
+  known = {};
+  known.entry = host;
+  known.rank = RankOf(host.id);
+}
+
+void host_directory::Remove(std::string_view id) {
+  const auto found = hosts_.find(id);
+  if (found != hosts_.end() && id != self_.id) {
+    hosts_.erase(found);
+  }
+}
+
+void host_directory::OnHeard(std::string_view id, time_point now) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end()) {
+    return;
+  }
+  found->second.heard = now;
+  found->second.is_lost = false;
+  found->second.pinged.reset();
+  found->second.pings_sent = 0;
+  heard_any_ = now;
+}
+
+void host_directory::OnReportedLost(std::string_view id, time_point now) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end() || id == self_.id) {
+    return;
+  }
+  const bool was_heard_since =
+      found->second.heard &&
+      now - *found->second.heard < options_.heard_recently;
+  if (!was_heard_since) {
+    found->second.is_lost = true;
+  }
+}
+
+detector_actions host_directory::Step(time_point now) {
+  detector_actions actions;
+  CheckPings(now, actions);
+  const std::optional<std::string> next = NextToWatch();
+  if (next) {
+    record& host = hosts_.find(*next)->second;
+    if (!host.pinged) {
+      Ping(host, now, actions);
+    }
+  }
+  ++steps_;
+  return actions;
+}
+
+void host_directory::CheckPings(time_point now, detector_actions& actions) {
+  // A host that hears nobody cannot tell who is lost.
+  const bool can_judge =
+      heard_any_ &&
+      now - *heard_any_ < options_.heard_recently + 2 * options_.ping_timeout;
+  for (auto& [id, host] : hosts_) {
+    if (!host.pinged) {
+      continue;
+    }
+    const duration waited = now - *host.pinged;
+    if (host.is_lost) {
+      if (waited >= options_.lost_ping_interval) {
+        Ping(host, now, actions);
+      }
+      continue;
+    }
+    if (waited < options_.ping_timeout) {
+      continue;
+    }
+    if (host.pings_sent < kPingsBeforeLoss) {
+      Ping(host, now, actions);
+      continue;
+    }
+    host.is_lost = true;
+    if (can_judge) {
+      actions.lost_ids.push_back(id);
+    }
+  }
+}
+
+void host_directory::Ping(record& host,
+                          time_point now,
+                          detector_actions& actions) {
+  host.pinged = now;
+  ++host.pings_sent;
+  actions.pings.push_back(
+      {host.entry.peer_address, random_.Next(), host.is_lost});
+}
+
+std::optional<std::string> host_directory::NextToWatch() {
+  std::vector<const record*> watched;
+  if (steps_ % kOtherZoneInterval == kOtherZoneInterval - 1) {
+    for (const auto& [id, host] : hosts_) {
+      if (host.entry.zone != self_.zone) {
+        watched.push_back(&host);
+      }
+    }
+  } else {
+    watched = ServingOf(self_.zone);
+    for (const auto& [id, host] : hosts_) {
+      if (host.is_lost && host.entry.zone == self_.zone) {
+        watched.push_back(&host);
+      }
+    }
+  }
+  std::erase_if(watched, [this](const record* host) {
+    return host->entry.id == self_.id;
+  });
+  if (watched.empty()) {
+    return std::nullopt;
+  }
+  return watched[random_.Uniform(watched.size())]->entry.id;
+}
+
+std::vector<const host_directory::record*> host_directory::ServingOf(
+    std::string_view zone) const {
+  const double answering = static_cast<double>(hosts_.size() - lost_count());
+  const bool trusts_view =
+      answering >= kMinAnsweringShare * static_cast<double>(hosts_.size());
+  std::vector<const record*> serving;
+  std::size_t zone_hosts = 0;
+  for (const auto& [id, host] : hosts_) {
+    if (host.entry.zone != zone) {
+      continue;
+    }
+    ++zone_hosts;
+    if (!host.is_lost || !trusts_view) {
+      serving.push_back(&host);
+    }
+  }
+  std::sort(serving.begin(), serving.end(),
+            [](const record* left, const record* right) {
+              return left->rank < right->rank;
+            });
+  const std::size_t wanted = std::max(
+      options_.serving_hosts_per_zone,
+      static_cast<std::size_t>(
+          std::ceil(static_cast<double>(zone_hosts) * options_.serving_share)));
+  if (serving.size() > wanted) {
+    serving.resize(wanted);
+  }
+  return serving;
+}
+
+std::vector<endpoint> host_directory::AddressesFor(
+    std::string_view zone) const {
+  std::vector<endpoint> addresses;
+  for (const record* host : ServingOf(zone)) {
+    addresses.push_back(host->entry.caller_address);
+  }
+  if (addresses.empty()) {
+    for (const host_entry* host : ServingHosts()) {
+      addresses.push_back(host->caller_address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<const host_entry*> host_directory::ServingHosts() const {
+  std::set<std::string_view> zones;
+  for (const auto& [id, host] : hosts_) {
+    zones.insert(host.entry.zone);
+  }
+  std::vector<const host_entry*> serving;
+  for (const std::string_view zone : zones) {
+    for (const record* host : ServingOf(zone)) {
+      serving.push_back(&host->entry);
+    }
+  }
+  return serving;
+}
+
+std::vector<const host_entry*> host_directory::OtherHosts() const {
+  std::vector<const host_entry*> others;
+  for (const auto& [id, host] : hosts_) {
+    if (id != self_.id) {
+      others.push_back(&host.entry);
+    }
+  }
+  return others;
+}
+
+bool host_directory::IsServing() const {
+  const std::vector<const record*> serving = ServingOf(self_.zone);
+  return std::any_of(
+      serving.begin(), serving.end(),
+      [this](const record* host) { return host->entry.id == self_.id; });
+}
+
+bool host_directory::IsLost(std::string_view id) const {
+  const auto found = hosts_.find(id);
+  return found != hosts_.end() && found->second.is_lost;
+}
+
+std::size_t host_directory::lost_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(hosts_.begin(), hosts_.end(),
+                    [](const auto& entry) { return entry.second.is_lost; }));
+}
+
+std::size_t host_directory::zone_count() const {
+  std::set<std::string_view> zones;
+  for (const auto& [id, host] : hosts_) {
+    zones.insert(host.entry.zone);
+  }
+  return zones.size();
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/peers/peer_agent.cc
@@ -0,0 +1,276 @@
+#include "libraries/peers/peer_agent.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "libraries/event_loop/socket_options.h"
+
+namespace bulrushshore {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+// Spreads the steps of hosts that start together.
+constexpr double kStepJitter = 0.2;
+
+result<udp::endpoint> ToUdpEndpoint(const endpoint& address) {
+  socket_error failure;
+  const asio::ip::address ip = asio::ip::make_address(address.ip, failure);
+  if (failure) {
+    return error{error_code::kInvalidArgument,
+                 FormatEndpoint(address) + ": " + failure.message()};
+  }
+  return udp::endpoint(ip, address.port);
+}
+
+}  // namespace
+
+peer_agent::peer_agent(asio::io_context& loop,
+                       const clock& time,
+                       random_source& random,
+                       host_directory& hosts,
+                       bounded_log& log,
+                       peer_events& events,
+                       const peer_agent_options& options)
+    : socket_(loop),
+      step_timer_(loop),
+      announcement_timer_(loop),
+      time_(time),
+      random_(random),
+      hosts_(hosts),
+      log_(log),
+      events_(events),
+      options_(options),
+      reports_left_(options.reports_per_second),
+      reports_refilled_(time.Now()) {}
+
+status peer_agent::Start() {
+  const result<udp::endpoint> local = ToUdpEndpoint(hosts_.self().peer_address);
+  if (!IsOk(local)) {
+    return ErrorOf(local);
+  }
+  socket_error failure;
+  socket_.open(ValueOf(local).protocol(), failure);
+  if (!failure) {
+    socket_.bind(ValueOf(local), failure);
+  }
+  if (!failure) {
+    socket_.non_blocking(true, failure);
+  }
+  if (failure) {
+    return error{
+        error_code::kUnavailable,
+        FormatEndpoint(hosts_.self().peer_address) + ": " + failure.message()};
+  }
+  Receive();
+  ScheduleStep();
+  return OkStatus();
+}
+
+void peer_agent::Announce() {
+  announcements_left_ = options_.announcements;
+  ScheduleAnnouncement();
+}
+
+void peer_agent::ScheduleAnnouncement() {
+  if (announcements_left_ == 0 || is_leaving_) {
+    return;
+  }
+  --announcements_left_;
+  Broadcast(hosts_.OtherHosts(), hello_message{hosts_.self()});
+  announcement_timer_.expires_after(options_.announcement_interval);
+  announcement_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      ScheduleAnnouncement();
+    }
+  });
+}
+
+void peer_agent::AnnounceLeaving() {
+  is_leaving_ = true;
+  for (int sent = 0; sent < options_.announcements; ++sent) {
+    Broadcast(hosts_.OtherHosts(), leaving_message{});
+  }
+}
+
+void peer_agent::Report(const observation_message& report) {
+  if (TryTakeReport()) {
+    Broadcast(hosts_.ServingHosts(), report);
+  }
+}
+
+void peer_agent::Report(const target_lost_message& report) {
+  // Callers repeat a request that crashes targets at any host.
+  Broadcast(hosts_.OtherHosts(), report);
+}
+
+bool peer_agent::TryTakeReport() {
+  const time_point now = time_.Now();
+  const double elapsed =
+      std::chrono::duration<double>(now - reports_refilled_).count();
+  reports_refilled_ = now;
+  reports_left_ =
+      std::min(options_.reports_per_second,
+               reports_left_ + elapsed * options_.reports_per_second);
+  if (reports_left_ < 1.0) {
+    return false;
+  }
+  reports_left_ -= 1.0;
+  return true;
+}
+
+void peer_agent::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buffer_), sender_,
+      [this](const socket_error& error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          OnReceived(size);
+        }
+        Receive();
+      });
+}
+
+void peer_agent::OnReceived(std::size_t size) {
+  const result<peer_message> message =
+      DecodePeerMessage({buffer_.data(), size});
+  if (!IsOk(message) || !IsFromHost(ValueOf(message))) {
+    log_.Write(
+        log_level::kWarning, "peer_message_refused",
+        {{"sender", sender_.address().to_string()},
+         {"error", IsOk(message) ? "unknown host" : ErrorOf(message).message}});
+    return;
+  }
+  Handle(ValueOf(message));
+}
+
+bool peer_agent::IsFromHost(const peer_message& message) const {
+  const std::string ip = sender_.address().to_string();
+  if (const hello_message* hello = std::get_if<hello_message>(&message.body)) {
+    return hello->host.peer_address.ip == ip;
+  }
+  const std::vector<const host_entry*> others = hosts_.OtherHosts();
+  return std::any_of(
+      others.begin(), others.end(), [&message, &ip](const host_entry* host) {
+        return host->id == message.sender_id && host->peer_address.ip == ip;
+      });
+}
+
+void peer_agent::Handle(const peer_message& message) {
+  const bool was_lost = hosts_.IsLost(message.sender_id);
+  hosts_.OnHeard(message.sender_id, time_.Now());
+  std::visit([this, &message](
+                 const auto& body) { HandleBody(message.sender_id, body); },
+             message.body);
+  if (was_lost && !hosts_.IsLost(message.sender_id)) {
+    log_.Write(log_level::kInfo, "host_found", {{"host", message.sender_id}});
+    events_.OnHostsChanged();
+  }
+}
+
+void peer_agent::HandleBody(const std::string&, const ping_message& body) {
+  Send({sender_.address().to_string(), sender_.port()},
+       pong_message{body.nonce});
+  if (body.is_believed_lost && announcements_left_ == 0) {
+    Announce();
+  }
+}
+
+void peer_agent::HandleBody(const std::string&, const pong_message&) {}
+
+void peer_agent::HandleBody(const std::string& sender,
+                            const hello_message& body) {
+  const bool is_new = !hosts_.IsKnown(sender);
+  hosts_.Add(body.host);
+  hosts_.OnHeard(sender, time_.Now());
+  if (is_new) {
+    log_.Write(log_level::kInfo, "host_joined",
+               {{"host", sender}, {"zone", body.host.zone}});
+    events_.OnHostsChanged();
+  }
+}
+
+void peer_agent::HandleBody(const std::string& sender, const leaving_message&) {
+  hosts_.Remove(sender);
+  log_.Write(log_level::kInfo, "host_leaving", {{"host", sender}});
+  events_.OnHostsChanged();
+}
+
+void peer_agent::HandleBody(const std::string& sender,
+                            const host_lost_message& body) {
+  const bool was_lost = hosts_.IsLost(body.host_id);
+  hosts_.OnReportedLost(body.host_id, time_.Now());
+  if (!was_lost && hosts_.IsLost(body.host_id)) {
+    log_.Write(log_level::kInfo, "host_lost",
+               {{"host", body.host_id}, {"reported_by", sender}});
+    events_.OnHostsChanged();
+  }
+}
+
+void peer_agent::HandleBody(const std::string&,
+                            const observation_message& body) {
+  events_.OnObservation(body);
+}
+
+void peer_agent::HandleBody(const std::string&,
+                            const target_lost_message& body) {
+  events_.OnTargetLost(body);
+}
+
+void peer_agent::ScheduleStep() {
+  const double factor = 1.0 + kStepJitter * (2.0 * random_.UniformReal() - 1.0);
+  step_timer_.expires_after(std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(options_.step_interval) * factor));
+  step_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      Step();
+      ScheduleStep();
+    }
+  });
+}
+
+void peer_agent::Step() {
+  if (is_leaving_) {
+    return;
+  }
+  const std::size_t lost_before = hosts_.lost_count();
+  const detector_actions actions = hosts_.Step(time_.Now());
+  for (const due_ping& ping : actions.pings) {
+    Send(ping.address, ping_message{ping.nonce, ping.is_believed_lost});
+  }
+  for (const std::string& id : actions.lost_ids) {
+    log_.Write(log_level::kInfo, "host_lost",
+               {{"host", id}, {"reported_by", hosts_.self().id}});
+    Broadcast(hosts_.OtherHosts(), host_lost_message{id});
+  }
+  if (hosts_.lost_count() != lost_before) {
+    events_.OnHostsChanged();
+  }
+}
+
+void peer_agent::Send(const endpoint& address, const peer_body& body) {
+  const result<udp::endpoint> receiver = ToUdpEndpoint(address);
+  if (!IsOk(receiver)) {
+    return;
+  }
+  const std::string bytes = EncodePeerMessage({hosts_.self().id, body});
+  socket_error ignored;  // Datagrams may get lost; the next step sends again.
+  socket_.send_to(asio::buffer(bytes), ValueOf(receiver), 0, ignored);
+}
+
+void peer_agent::Broadcast(std::span<const host_entry* const> hosts,
+                           const peer_body& body) {
+  for (const host_entry* host : hosts) {
+    if (host->id != hosts_.self().id) {
+      Send(host->peer_address, body);
+    }
+  }
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/peers/peer_agent.h
@@ -0,0 +1,115 @@
+#ifndef LIBRARIES_PEERS_PEER_AGENT_H_
+#define LIBRARIES_PEERS_PEER_AGENT_H_
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "libraries/base/clock.h"
+#include "libraries/base/random_source.h"
+#include "libraries/base/result.h"
+#include "libraries/peers/host_directory.h"
+#include "libraries/peers/peer_message.h"
+#include "libraries/telemetry/bounded_log.h"
+
+namespace bulrushshore {
+
+// Receives what other hosts report. Called on the event loop's thread.
+class peer_events {
+ public:
+  virtual ~peer_events() = default;
+
+  // A request of another host ended badly at a target.
+  virtual void OnObservation(const observation_message& report) = 0;
+
+  // Another host lost a target that ran a request.
+  virtual void OnTargetLost(const target_lost_message& report) = 0;
+
+  // Hosts were added, lost or found.
+  virtual void OnHostsChanged() = 0;
+};
+
+struct peer_agent_options {
+  // Time between two steps of the failure detector.
+  std::chrono::milliseconds step_interval{500};
+  // Datagrams get lost, so a host announces itself this number of times.
+  int announcements = 3;
+  std::chrono::milliseconds announcement_interval{200};
+  // Reports a second that one host sends at most; further ones are dropped,
+  // since the first ones of a burst say the same.
+  double reports_per_second = 20.0;
+};
+
+// Exchanges datagrams with the other hosts: who is alive, and what requests
+// showed about targets. Datagrams are accepted from the addresses of known
+// hosts only. All calls on the event loop's thread. Not thread safe.
+class peer_agent {
+ public:
+  // Precondition: the references outlive this object.
+  peer_agent(boost::asio::io_context& loop,
+             const clock& time,
+             random_source& random,
+             host_directory& hosts,
+             bounded_log& log,
+             peer_events& events,
+             const peer_agent_options& options = {});
+  peer_agent(const peer_agent&) = delete;
+  peer_agent& operator=(const peer_agent&) = delete;
+
+  // Binds the socket of this host and starts the failure detector.
+  status Start();
+
+  // Tells all hosts that this one takes callers.
+  void Announce();
+
+  // Tells all hosts that this one takes no further callers.
+  void AnnounceLeaving();
+
+  // Tells the hosts that take requests what a request showed about a target.
+  void Report(const observation_message& report);
+  void Report(const target_lost_message& report);
+
+ private:
+  void Receive();
+  void OnReceived(std::size_t size);
+  void Handle(const peer_message& message);
+  void HandleBody(const std::string& sender, const ping_message& body);
+  void HandleBody(const std::string& sender, const pong_message& body);
+  void HandleBody(const std::string& sender, const hello_message& body);
+  void HandleBody(const std::string& sender, const leaving_message& body);
+  void HandleBody(const std::string& sender, const host_lost_message& body);
+  void HandleBody(const std::string& sender, const observation_message& body);
+  void HandleBody(const std::string& sender, const target_lost_message& body);
+  bool IsFromHost(const peer_message& message) const;
+  void ScheduleStep();
+  void Step();
+  void ScheduleAnnouncement();
+  bool TryTakeReport();
+  void Send(const endpoint& address, const peer_body& body);
+  void Broadcast(std::span<const host_entry* const> hosts,
+                 const peer_body& body);
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  boost::asio::steady_timer step_timer_;
+  boost::asio::steady_timer announcement_timer_;
+  const clock& time_;
+  random_source& random_;
+  host_directory& hosts_;
+  bounded_log& log_;
+  peer_events& events_;
+  peer_agent_options options_;
+  std::array<char, 2048> buffer_{};
+  int announcements_left_ = 0;
+  double reports_left_;
+  time_point reports_refilled_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_PEERS_PEER_AGENT_H_
--- /dev/null
+++ b/libraries/peers/peer_message.cc
@@ -0,0 +1,190 @@
+#include "libraries/peers/peer_message.h"
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "libraries/base/cbor_check.h"
+
+namespace bulrushshore {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t kHeaderFields = 2;
+constexpr std::size_t kMaxIdBytes = 256;
+constexpr std::uint64_t kMaxObservation =
+    static_cast<std::uint64_t>(target_observation::kReusedConnectionLost);
+
+struct field_writer {
+  json& fields;
+
+  void operator()(const ping_message& body) const {
+    fields.push_back(body.nonce);
+    fields.push_back(body.is_believed_lost);
+  }
+  void operator()(const pong_message& body) const {
+    fields.push_back(body.nonce);
+  }
+  void operator()(const hello_message& body) const {
+    fields.push_back(body.host.zone);
+    fields.push_back(FormatEndpoint(body.host.caller_address));
+    fields.push_back(FormatEndpoint(body.host.peer_address));
+  }
+  void operator()(const leaving_message&) const {}
+  void operator()(const host_lost_message& body) const {
+    fields.push_back(body.host_id);
+  }
+  void operator()(const observation_message& body) const {
+    fields.push_back(body.target_id);
+    fields.push_back(body.started_at_unix_ms);
+    fields.push_back(static_cast<std::uint64_t>(body.observation));
+  }
+  void operator()(const target_lost_message& body) const {
+    fields.push_back(body.fingerprint);
+    fields.push_back(body.target_id);
+  }
+};
+
+// Reads typed fields one after the other and remembers whether all were there.
+class field_reader {
+ public:
+  explicit field_reader(const json& fields) : fields_(fields) {}
+
+  std::string Text() {
+    const json* value = Next();
+    if (!value || !value->is_string()) {
+      is_faulty_ = true;
+      return {};
+    }
+    const std::string& text = value->get_ref<const std::string&>();
+    is_faulty_ = is_faulty_ || text.empty() || text.size() > kMaxIdBytes;
+    return text;
+  }
+
+  std::uint64_t Unsigned() {
+    const json* value = Next();
+    if (!value || !value->is_number_unsigned()) {
+      is_faulty_ = true;
+      return 0;
+    }
+    return value->get<std::uint64_t>();
+  }
+
+  std::int64_t Signed() {
+    const json* value = Next();
+    if (!value || !value->is_number_integer()) {
+      is_faulty_ = true;
+      return 0;
+    }
+    return value->get<std::int64_t>();
+  }
+
+  bool Boolean() {
+    const json* value = Next();
+    if (!value || !value->is_boolean()) {
+      is_faulty_ = true;
+      return false;
+    }
+    return value->get<bool>();
+  }
+
+  endpoint Address() {
+    const result<endpoint> parsed = ParseEndpoint(Text());
+    if (!IsOk(parsed)) {
+      is_faulty_ = true;
+      return {};
+    }
+    return ValueOf(parsed);
+  }
+
+  void MarkFaulty() { is_faulty_ = true; }
+
+  bool IsComplete() const { return !is_faulty_ && next_ == fields_.size(); }
+
+ private:
+  const json* Next() {
+    return next_ < fields_.size() ? &fields_[next_++] : nullptr;
+  }
+
+  const json& fields_;
+  std::size_t next_ = 0;
+  bool is_faulty_ = false;
+};
+
+peer_body ReadBody(std::uint64_t type,
+                   const std::string& sender,
+                   field_reader& reader) {
+  switch (type) {
+    case 0: {
+      const std::uint64_t nonce = reader.Unsigned();
+      return ping_message{nonce, reader.Boolean()};
+    }
+    case 1:
+      return pong_message{reader.Unsigned()};
+    case 2: {
+      hello_message body;
+      body.host.id = sender;
+      body.host.zone = reader.Text();
+      body.host.caller_address = reader.Address();
+      body.host.peer_address = reader.Address();
+      return body;
+    }
+    case 3:
+      return leaving_message{};
+    case 4:
+      return host_lost_message{reader.Text()};
+    case 5: {
+      observation_message body;
+      body.target_id = reader.Text();
+      body.started_at_unix_ms = reader.Signed();
+      const std::uint64_t observation = reader.Unsigned();
+      if (observation > kMaxObservation) {
+        reader.MarkFaulty();
+      } else {
+        body.observation = static_cast<target_observation>(observation);
+      }
+      return body;
+    }
+    case 6: {
+      const std::uint64_t fingerprint = reader.Unsigned();
+      return target_lost_message{fingerprint, reader.Text()};
+    }
+    default:
+      reader.MarkFaulty();
+      return leaving_message{};
+  }
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const peer_message& message) {
+  json fields = json::array({message.sender_id, message.body.index()});
+  std::visit(field_writer{fields}, message.body);
+  const std::vector<std::uint8_t> bytes = json::to_cbor(fields);
+  return {bytes.begin(), bytes.end()};
+}
+
+result<peer_message> DecodePeerMessage(std::string_view bytes) {
+  const error faulty{error_code::kInvalidArgument, "faulty peer message"};
+  if (!IsBoundedCbor(bytes)) {
+    return faulty;
+  }
+  const json fields = json::from_cbor(bytes, true, false);
+  if (!fields.is_array() || fields.size() < kHeaderFields) {
+    return faulty;
+  }
+  field_reader reader(fields);
+  peer_message message;
+  message.sender_id = reader.Text();
+  const std::uint64_t type = reader.Unsigned();
+  message.body = ReadBody(type, message.sender_id, reader);
+  if (!reader.IsComplete()) {
+    return faulty;
+  }
+  return message;
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/placement/evidence_board.h
@@ -0,0 +1,107 @@
+#ifndef LIBRARIES_PLACEMENT_EVIDENCE_BOARD_H_
+#define LIBRARIES_PLACEMENT_EVIDENCE_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "libraries/base/clock.h"
+
+namespace bulrushshore {
+
+// What one attempt says about its target.
+enum class target_observation {
+  kSuccess,
+  // An error status of the target's own.
+  kFailure,
+  // Bytes that are no answer to the request, or a broken answer.
+  kBadAnswer,
+  // Far slower than other requests of the route, or not answered at all.
+  kOverdue,
+  // The target refused to start the request.
+  kRefused,
+  kConnectFailed,
+  // The connection ended while the target held the request.
+  kConnectionLost,
+  // The same on a connection that had been idle, which the target may have
+  // closed just before.
+  kReusedConnectionLost,
+};
+
+// Returns the stable lower-case name of `observation`. Thread safe.
+std::string_view TargetObservationName(target_observation observation);
+
+struct evidence_options {
+  // Suspicion falls to 1/e of its value in this time.
+  duration time_constant = std::chrono::seconds(3);
+  // Bounds how long a repaired target stays under suspicion.
+  double maximum_suspicion = 4.0;
+  // A success leaves this share of the suspicion.
+  double success_factor = 0.5;
+  double failure_weight = 1.0;
+  double overdue_weight = 0.5;
+  double refusal_weight = 0.3;
+  double reused_connection_weight = 0.3;
+  double connect_failure_weight = 2.0;
+  // Another host's lost connection may be a fault of its path to the target.
+  double remote_path_factor = 0.35;
+};
+
+// How far each target is suspected of failing now, from the outcomes that this
+// host saw and those that other hosts report. Made for fleets in which each
+// host sees about one request a second for each target and targets fail a part
+// of their requests for seconds at a time: one failure counts at once, and
+// suspicion ends by itself, because health checks say nothing about such
+// faults. It never reads a clock. Not thread safe.
+class evidence_board {
+ public:
+  explicit evidence_board(const evidence_options& options = {});
+
+  // Names one incarnation of a target.
+  struct target_key {
+    std::string_view id;
+    std::int64_t started_at_unix_ms = 0;
+  };
+
+  // Enters an outcome that this host saw.
+  void ObserveHere(const target_key& target,
+                   target_observation observation,
+                   time_point now);
+
+  // Enters an outcome that another host reported.
+  void ObserveElsewhere(const target_key& target,
+                        target_observation observation,
+                        time_point now);
+
+  // Returns the present suspicion, 0 or more.
+  double Suspicion(const target_key& target, time_point now) const;
+
+  // Count the requests of this host that the target holds.
+  void BeginRequest(std::string_view id);
+  // Precondition: as many calls of BeginRequest() for the id.
+  void EndRequest(std::string_view id);
+  std::uint32_t RequestsHeld(std::string_view id) const;
+
+  // Drops what is known of targets without suspicion and requests.
+  void Forget(time_point now);
+
+ private:
+  struct record {
+    std::int64_t started_at_unix_ms = 0;
+    double suspicion = 0.0;
+    time_point updated;
+    std::uint32_t requests_held = 0;
+  };
+
+  double WeightOf(target_observation observation) const;
+  void Add(const target_key& target, double weight, time_point now);
+  double Decayed(const record& value, time_point now) const;
+
+  evidence_options options_;
+  std::map<std::string, record, std::less<>> records_;
+};
+
+}  // namespace bulrushshore
+
+#endif  // LIBRARIES_PLACEMENT_EVIDENCE_BOARD_H_
--- /dev/null
+++ b/libraries/placement/target_chooser.cc
@@ -0,0 +1,124 @@
+#include "libraries/placement/target_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushshore {
+namespace {
+
+// The own requests stand for those of at most this number of hosts; with more
+// hosts one request would look like a full target.
+constexpr double kMaxLoadScale = 3.0;
+
+}  // namespace
+
+zone_weights WeighZones(std::size_t local,
+                        std::size_t total,
+                        std::size_t zone_count,
+                        const target_chooser_options& options) {
+  if (local == 0 || local >= total || zone_count <= 1) {
+    return {};
+  }
+  const double even_share =
+      static_cast<double>(local) / static_cast<double>(total);
+  const double local_share = std::min(1.0, options.zone_headroom * even_share *
+                                               static_cast<double>(zone_count));
+  const double remote =
+      (1.0 - local_share) / static_cast<double>(total - local);
+  const double even = 1.0 / static_cast<double>(total);
+  return {local_share / static_cast<double>(local),
+          std::max(remote, options.remote_share * even)};
+}
+
+target_chooser::target_chooser(const target_chooser_options& options,
+                               random_source& random)
+    : options_(options), random_(random) {}
+
+std::optional<std::size_t> target_chooser::Choose(
+    std::span<const registered_target> targets,
+    const evidence_board& evidence,
+    const placement_request& request) {
+  std::vector<candidate> candidates = Candidates(targets, evidence, request);
+  ExcludeSuspected(targets.size(), candidates);
+  double total = 0.0;
+  for (const candidate& entry : candidates) {
+    total += entry.weight;
+  }
+  double rest = random_.UniformReal() * total;
+  for (const candidate& entry : candidates) {
+    rest -= entry.weight;
+    if (rest < 0.0) {
+      return entry.index;
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates.back().index;
+}
+
+std::vector<target_chooser::candidate> target_chooser::Candidates(
+    std::span<const registered_target> targets,
+    const evidence_board& evidence,
+    const placement_request& request) const {
+  const std::size_t local = static_cast<std::size_t>(std::count_if(
+      targets.begin(), targets.end(), [this](const registered_target& target) {
+        return target.entry.zone == view_.zone;
+      }));
+  const zone_weights zones =
+      WeighZones(local, targets.size(), view_.zone_count, options_);
+  std::vector<candidate> candidates;
+  candidates.reserve(targets.size());
+  for (std::size_t index = 0; index < targets.size(); ++index) {
+    const registered_target& target = targets[index];
+    if (std::find(request.excluded_ids.begin(), request.excluded_ids.end(),
+                  target.entry.id) != request.excluded_ids.end()) {
+      continue;
+    }
+    candidate added;
+    added.index = index;
+    added.suspicion = evidence.Suspicion(
+        {target.entry.id, target.entry.started_at_unix_ms}, request.now);
+    added.weight =
+        static_cast<double>(target.entry.slots) *
+        (target.entry.zone == view_.zone ? zones.local : zones.remote) *
+        LoadWeight(target, evidence) /
+        (1.0 + options_.suspicion_factor * added.suspicion * added.suspicion);
+    if (request.now < target.warm_until) {
+      added.weight *= options_.warm_up_share;
+    }
+    candidates.push_back(added);
+  }
+  return candidates;
+}
+
+void target_chooser::ExcludeSuspected(
+    std::size_t target_count,
+    std::vector<candidate>& candidates) const {
+  const std::size_t spare = static_cast<std::size_t>(std::floor(
+      static_cast<double>(target_count) * (1.0 - options_.floor_share) + 1e-9));
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const candidate& left, const candidate& right) {
+                     return left.suspicion < right.suspicion;
+                   });
+  for (std::size_t excluded = 0; excluded < spare; ++excluded) {
+    if (candidates.size() <= 1 ||
+        candidates.back().suspicion < options_.exclusion_suspicion) {
+      return;
+    }
+    candidates.pop_back();
+  }
+}
+
+double target_chooser::LoadWeight(const registered_target& target,
+                                  const evidence_board& evidence) const {
+  const double scale = std::min(
+      kMaxLoadScale,
+      static_cast<double>(std::max<std::size_t>(1, view_.serving_hosts)));
+  const double load =
+      scale * static_cast<double>(evidence.RequestsHeld(target.entry.id)) /
+      static_cast<double>(std::max(1U, target.entry.slots));
+  return 1.0 / (1.0 + load * load);
+}
+
+}  // namespace bulrushshore
--- a/libraries/proxy/attempt_runner.h
+++ b/libraries/proxy/attempt_runner.h
@@ -13,8 +13,8 @@
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
 #include "libraries/dispatch/dispatcher.h"
+#include "libraries/http/http_message.h"
 #include "libraries/proxy/connection_bound.h"
-#include "libraries/proxy/http_message.h"
 #include "libraries/proxy/outcome.h"
 #include "libraries/proxy/target_client.h"
 
--- a/libraries/proxy/caller_connection.h
+++ b/libraries/proxy/caller_connection.h
@@ -10,8 +10,8 @@
 #include <variant>
 
 #include "libraries/base/clock.h"
+#include "libraries/http/http_message.h"
 #include "libraries/proxy/exchange_stream.h"
-#include "libraries/proxy/http_message.h"
 #include "libraries/proxy/outcome.h"
 #include "libraries/proxy/request_head.h"
 
--- a/libraries/proxy/outcome.h
+++ b/libraries/proxy/outcome.h
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "libraries/dispatch/dispatcher.h"
-#include "libraries/proxy/http_message.h"
+#include "libraries/http/http_message.h"
 
 namespace bulrushshore {
 
--- a/libraries/proxy/request_head.h
+++ b/libraries/proxy/request_head.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <variant>
 
-#include "libraries/proxy/http_message.h"
+#include "libraries/http/http_message.h"
 #include "libraries/proxy/outcome.h"
 
 namespace bulrushshore {
--- /dev/null
+++ b/libraries/rules/rule_index.cc
@@ -0,0 +1,64 @@
+#include "libraries/rules/rule_index.h"
+
+#include <cassert>
+#include <utility>
+
+#include "libraries/routing/route_table.h"
+
+namespace bulrushshore {
+namespace {
+
+std::string IndexKey(std::string_view host_name, std::string_view prefix) {
+  std::string key(host_name);
+  key += ' ';
+  key += prefix;
+  return key;
+}
+
+}  // namespace
+
+rule_index::rule_index(std::shared_ptr<const rule_set> rules)
+    : rules_(std::move(rules)) {
+  assert(rules_);
+  for (const auto& [name, route] : rules_->routes) {
+    routes_.emplace(IndexKey(HostNameOf(route.host_name), route.path_prefix),
+                    &route);
+  }
+}
+
+const route_rule* rule_index::Find(std::string_view host_header,
+                                   std::string_view target) const {
+  const std::string host_name = HostNameOf(host_header);
+  std::string_view prefix = target.substr(0, target.find('?'));
+  while (true) {
+    const std::size_t slash = prefix.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    prefix = prefix.substr(0, slash + 1);
+    const auto found = routes_.find(IndexKey(host_name, prefix));
+    if (found != routes_.end()) {
+      return found->second;
+    }
+    prefix.remove_suffix(1);
+  }
+}
+
+const std::string& ChooseService(const route_rule& route,
+                                 random_source& random) {
+  assert(!route.services.empty());
+  double total = 0.0;
+  for (const weighted_service& part : route.services) {
+    total += part.weight;
+  }
+  double rest = random.UniformReal() * total;
+  for (const weighted_service& part : route.services) {
+    rest -= part.weight;
+    if (rest < 0.0) {
+      return part.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/libraries/targets/target_registry.cc
@@ -0,0 +1,221 @@
+#include "libraries/targets/target_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bulrushshore {
+namespace {
+
+// Ids of departed targets whose last start is remembered.
+constexpr std::size_t kMaxDeparted = 20'000;
+
+}  // namespace
+
+std::string_view TargetChangeTypeName(target_change_type type) {
+  switch (type) {
+    case target_change_type::kAdded:
+      return "added";
+    case target_change_type::kChanged:
+      return "changed";
+    case target_change_type::kDraining:
+      return "draining";
+    case target_change_type::kRemoved:
+      return "removed";
+    case target_change_type::kHeld:
+      return "held";
+    case target_change_type::kOutdated:
+      return "outdated";
+  }
+  return "unknown";
+}
+
+target_registry::target_registry(const target_registry_options& options)
+    : options_(options) {}
+
+target_change target_registry::Apply(const target_entry& entry,
+                                     time_point now) {
+  const auto departed = last_started_.find(entry.id);
+  if (departed != last_started_.end() &&
+      entry.started_at_unix_ms < departed->second) {
+    return {target_change_type::kOutdated, entry.id, entry.service};
+  }
+  const auto found = records_.find(entry.id);
+  if (found == records_.end()) {
+    record added;
+    added.entry = entry;
+    added.incarnation = next_incarnation_++;
+    added.warm_until = now + entry.warm_up_left;
+    records_.emplace(entry.id, std::move(added));
+    Rebuild(entry.service);
+    return {entry.is_draining ? target_change_type::kDraining
+                              : target_change_type::kAdded,
+            entry.id, entry.service};
+  }
+  record& known = found->second;
+  const bool is_older =
+      entry.started_at_unix_ms < known.entry.started_at_unix_ms ||
+      (entry.started_at_unix_ms == known.entry.started_at_unix_ms &&
+       entry.started_at_unix_ms != 0 && entry.sequence < known.entry.sequence);
+  if (is_older) {
+    return {target_change_type::kOutdated, entry.id, entry.service};
+  }
+  const std::string old_service = known.entry.service;
+  const bool is_new_incarnation =
+      entry.started_at_unix_ms != known.entry.started_at_unix_ms ||
+      entry.address != known.entry.address;
+  const bool starts_draining = entry.is_draining && !known.entry.is_draining;
+  if (is_new_incarnation) {
+    known.incarnation = next_incarnation_++;
+    known.is_disowned = false;
+  }
+  known.entry = entry;
+  known.warm_until = now + entry.warm_up_left;
+  known.held_until.reset();
+  Rebuild(old_service);
+  if (old_service != entry.service) {
+    Rebuild(entry.service);
+  }
+  return {starts_draining ? target_change_type::kDraining
+                          : target_change_type::kChanged,
+          entry.id, entry.service};
+}
+
+std::optional<target_change> target_registry::Remove(std::string_view id,
+                                                     time_point now) {
+  const auto found = records_.find(id);
+  if (found == records_.end()) {
+    return std::nullopt;
+  }
+  record& known = found->second;
+  if (IsRestoring(now) && !known.entry.is_draining) {
+    known.held_until = *restoring_until_;
+    return target_change{target_change_type::kHeld, std::string(id),
+                         known.entry.service};
+  }
+  return Erase(found);
+}
+
+std::vector<target_change> target_registry::Replace(
+    std::span<const target_entry> entries,
+    time_point now) {
+  std::vector<target_change> changes;
+  std::set<std::string, std::less<>> listed;
+  for (const target_entry& entry : entries) {
+    listed.insert(entry.id);
+    const auto known = records_.find(entry.id);
+    if (known != records_.end() && known->second.entry == entry &&
+        !known->second.held_until) {
+      continue;
+    }
+    changes.push_back(Apply(entry, now));
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, known] : records_) {
+    if (!listed.contains(id) && !known.held_until) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    const std::optional<target_change> change = Remove(id, now);
+    if (change) {
+      changes.push_back(*change);
+    }
+  }
+  return changes;
+}
+
+void target_registry::OnListLost() {
+  is_list_lost_ = true;
+  restoring_until_.reset();
+}
+
+void target_registry::OnListRegained(time_point now) {
+  if (!is_list_lost_) {
+    return;
+  }
+  is_list_lost_ = false;
+  restoring_until_ = now + options_.restore_time;
+}
+
+std::vector<target_change> target_registry::Advance(time_point now) {
+  std::vector<target_change> changes;
+  for (auto position = records_.begin(); position != records_.end();) {
+    const auto next = std::next(position);
+    if (position->second.held_until && *position->second.held_until <= now) {
+      changes.push_back(Erase(position));
+    }
+    position = next;
+  }
+  return changes;
+}
+
+std::optional<time_point> target_registry::NextDecision() const {
+  std::optional<time_point> earliest;
+  for (const auto& [id, known] : records_) {
+    if (known.held_until && (!earliest || *known.held_until < *earliest)) {
+      earliest = known.held_until;
+    }
+  }
+  return earliest;
+}
+
+void target_registry::Disown(std::string_view id) {
+  const auto found = records_.find(id);
+  if (found == records_.end()) {
+    return;
+  }
+  found->second.is_disowned = true;
+  Rebuild(found->second.entry.service);
+}
+
+std::span<const registered_target> target_registry::Usable(
+    std::string_view service) const {
+  const auto found = usable_.find(service);
+  if (found == usable_.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+const target_entry* target_registry::Find(std::string_view id) const {
+  const auto found = records_.find(id);
+  return found == records_.end() ? nullptr : &found->second.entry;
+}
+
+std::size_t target_registry::usable_count() const {
+  std::size_t count = 0;
+  for (const auto& [service, targets] : usable_) {
+    count += targets.size();
+  }
+  return count;
+}
+
+bool target_registry::IsRestoring(time_point now) const {
+  return restoring_until_ && now < *restoring_until_;
+}
+
+void target_registry::Rebuild(std::string_view service) {
+  std::vector<registered_target> targets;
+  for (const auto& [id, known] : records_) {
+    if (known.entry.service == service && !known.entry.is_draining &&
+        !known.is_disowned) {
+      targets.push_back({known.entry, known.incarnation, known.warm_until});
+    }
+  }
+  usable_[std::string(service)] = std::move(targets);
+}
+
+target_change target_registry::Erase(record_map::iterator position) {
+  const target_change change{target_change_type::kRemoved, position->first,
+                             position->second.entry.service};
+  if (last_started_.size() >= kMaxDeparted) {
+    last_started_.clear();
+  }
+  last_started_[change.id] = position->second.entry.started_at_unix_ms;
+  records_.erase(position);
+  Rebuild(change.service);
+  return change;
+}
+
+}  // namespace bulrushshore
--- a/libraries/telemetry/log.cc
+++ b/libraries/telemetry/log.cc
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-void ConfigureLogging(log_level minimum) {
+void ConfigureLogging(log_level minimum, log_stream stream) {
   // The layout supplies time and level, so that the library's own clock and
   // level names are used; LogEvent() supplies the rest of the object.
   const log4cxx::LayoutPtr layout =
@@ -39,7 +39,9 @@
           "\"%p\",%m}%n"));
   const log4cxx::ConsoleAppenderPtr appender =
       std::make_shared<log4cxx::ConsoleAppender>(
-          layout, log4cxx::ConsoleAppender::getSystemErr());
+          layout, stream == log_stream::kStandardOutput
+                      ? log4cxx::ConsoleAppender::getSystemOut()
+                      : log4cxx::ConsoleAppender::getSystemErr());
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   EventLogger()->setLevel(ToLibraryLevel(minimum));
--- a/libraries/telemetry/log.h
+++ b/libraries/telemetry/log.h
@@ -17,9 +17,12 @@
   nlohmann::json value;
 };
 
-// Sends log lines to the standard error stream from `minimum` upwards.
-// Precondition: called once, before the first LogEvent(). Not thread safe.
-void ConfigureLogging(log_level minimum);
+enum class log_stream { kStandardError, kStandardOutput };
+
+// Sends log lines to `stream` from `minimum` upwards. Precondition: called
+// once, before the first LogEvent(). Not thread safe.
+void ConfigureLogging(log_level minimum,
+                      log_stream stream = log_stream::kStandardError);
 
 // Writes one JSON object on a line of its own, with the fields "time", "level"
 // and "event" followed by `fields`. Thread safe.
--- a/libraries/telemetry/metrics.h
+++ b/libraries/telemetry/metrics.h
@@ -1,7 +1,9 @@
 #ifndef LIBRARIES_TELEMETRY_METRICS_H_
 #define LIBRARIES_TELEMETRY_METRICS_H_
 
+#include <array>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -37,9 +39,37 @@
   std::atomic<std::int64_t> value_{0};
 };
 
+// Counts observations by size, with fixed bounds that suit latencies from one
+// millisecond to half a minute. Thread safe.
+class histogram {
+ public:
+  // Upper bounds in seconds; the last bucket has none.
+  static constexpr std::array<double, 13> kBounds = {
+      0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1,
+      0.25,  0.5,   1.0,   2.5,  5.0,   10.0};
+
+  void Observe(double seconds);
+
+  // Returns how many observations were at most the bound with this index, and
+  // all of them for the index behind the last bound.
+  std::uint64_t CumulativeCount(std::size_t index) const;
+
+  double sum_seconds() const {
+    return static_cast<double>(
+               sum_microseconds_.load(std::memory_order_relaxed)) /
+           kMicrosecondsPerSecond;
+  }
+
+ private:
+  static constexpr double kMicrosecondsPerSecond = 1e6;
+
+  std::array<std::atomic<std::uint64_t>, kBounds.size() + 1> buckets_{};
+  std::atomic<std::uint64_t> sum_microseconds_{0};
+};
+
 using metric_labels = std::map<std::string, std::string>;
 
-// Holds the counters and gauges of one process. Thread safe.
+// Holds the metrics of one process. Thread safe.
 class metric_registry {
  public:
   // Returns the counter with this name and these labels, creating it at the
@@ -54,6 +84,11 @@
                   std::string_view help,
                   const metric_labels& labels = {});
 
+  // As GetCounter(), for histograms.
+  histogram& GetHistogram(std::string_view name,
+                          std::string_view help,
+                          const metric_labels& labels = {});
+
   // Returns all values in the Prometheus text exposition format 0.0.4.
   std::string RenderText() const;
 
@@ -73,6 +108,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, family<counter>> counters_;
   std::map<std::string, family<gauge>> gauges_;
+  std::map<std::string, family<histogram>> histograms_;
 };
 
 }  // namespace bulrushshore
--- /dev/null
+++ b/services/edge_daemon/edge_daemon.cc
@@ -0,0 +1,221 @@
+#include "services/edge_daemon/edge_daemon.h"
+
+#include <utility>
+
+namespace bulrushshore {
+namespace {
+
+// Interval of work that only depends on time: idle connections, held targets.
+constexpr duration kUpkeepInterval = std::chrono::milliseconds(500);
+
+constexpr duration kLeaveStep = std::chrono::milliseconds(50);
+
+}  // namespace
+
+edge_daemon::edge_daemon(boost::asio::io_context& loop,
+                         const edge_options& options)
+    : loop_(loop),
+      options_(options),
+      random_(seeded_random::FromSystemEntropy()),
+      log_(time_),
+      telemetry_(log_, metrics_),
+      state_(loop, time_, random_, telemetry_, *this, options.gateway),
+      gateway_(state_),
+      hosts_(options.self, random_, options.hosts),
+      peers_(loop, time_, random_, hosts_, log_, *this, options.peers),
+      upkeep_timer_(loop),
+      leave_timer_(loop) {}
+
+status edge_daemon::Start() {
+  const status peers_started = peers_.Start();
+  if (!IsOk(peers_started)) {
+    return peers_started;
+  }
+  const status listening = gateway_.Listen(options_.self.caller_address);
+  if (!IsOk(listening)) {
+    return listening;
+  }
+  OnHostsChanged();
+  ScheduleUpkeep();
+  log_.Write(log_level::kInfo, "host_started",
+             {{"host", options_.self.id},
+              {"zone", options_.self.zone},
+              {"address", FormatEndpoint(options_.self.caller_address)}});
+  return OkStatus();
+}
+
+void edge_daemon::ApplyRules(rule_set rules) {
+  const std::uint64_t version = rules.version;
+  const std::size_t routes = rules.routes.size();
+  const bool is_new =
+      state_.SetRules(std::make_shared<const rule_set>(std::move(rules)));
+  log_.Write(log_level::kInfo, is_new ? "rules_applied" : "rules_outdated",
+             {{"version", version}, {"routes", routes}});
+}
+
+void edge_daemon::ApplyTarget(const target_entry& entry) {
+  LogTargetChange(state_.targets().Apply(entry, time_.Now()));
+}
+
+void edge_daemon::RemoveTarget(std::string_view id) {
+  const std::optional<target_change> change =
+      state_.targets().Remove(id, time_.Now());
+  if (change) {
+    LogTargetChange(*change);
+  }
+}
+
+void edge_daemon::ReplaceTargets(std::span<const target_entry> entries) {
+  const std::vector<target_change> changes =
+      state_.targets().Replace(entries, time_.Now());
+  for (const target_change& change : changes) {
+    LogTargetChange(change);
+  }
+}
+
+void edge_daemon::OnTargetListLost() {
+  state_.targets().OnListLost();
+}
+
+void edge_daemon::OnTargetListRegained() {
+  state_.targets().OnListRegained(time_.Now());
+}
+
+void edge_daemon::LogTargetChange(const target_change& change) {
+  const target_entry* entry = state_.targets().Find(change.id);
+  const bool is_out_of_use = !entry || entry->is_draining;
+  if (is_out_of_use) {
+    state_.connections().Drop(change.id);
+  }
+  log_.Write(log_level::kInfo, "target_changed",
+             {{"target", change.id},
+              {"service", change.service},
+              {"change", TargetChangeTypeName(change.type)},
+              {"sequence", entry ? entry->sequence : 0}});
+}
+
+void edge_daemon::AddHosts(std::span<const host_entry> hosts) {
+  for (const host_entry& host : hosts) {
+    if (host.id != hosts_.self().id) {
+      hosts_.Add(host);
+    }
+  }
+  OnHostsChanged();
+  peers_.Announce();
+}
+
+bool edge_daemon::IsReady() const {
+  return state_.rules() != nullptr && !is_leaving_;
+}
+
+std::vector<endpoint> edge_daemon::AddressesFor(std::string_view zone) const {
+  return hosts_.AddressesFor(zone);
+}
+
+std::string edge_daemon::RenderMetrics() {
+  metrics_.GetGauge("bulrush_sessions", "Open connections of callers.")
+      .Set(static_cast<std::int64_t>(gateway_.session_count()));
+  metrics_.GetGauge("bulrush_unanswered_requests", "Requests in progress.")
+      .Set(static_cast<std::int64_t>(gateway_.UnansweredRequests()));
+  metrics_.GetGauge("bulrush_usable_targets", "Targets that may get requests.")
+      .Set(static_cast<std::int64_t>(state_.targets().usable_count()));
+  metrics_.GetGauge("bulrush_hosts", "Known hosts of the fleet.")
+      .Set(static_cast<std::int64_t>(hosts_.host_count()));
+  metrics_.GetGauge("bulrush_lost_hosts", "Known hosts that do not answer.")
+      .Set(static_cast<std::int64_t>(hosts_.lost_count()));
+  metrics_.GetGauge("bulrush_rules_version", "Version of the rules in force.")
+      .Set(state_.rules()
+               ? static_cast<std::int64_t>(state_.rules()->rules().version)
+               : 0);
+  metrics_.GetGauge("bulrush_log_lines_dropped", "Log lines over the rate.")
+      .Set(static_cast<std::int64_t>(log_.dropped()));
+  return metrics_.RenderText();
+}
+
+void edge_daemon::ReportObservation(const evidence_board::target_key& target,
+                                    target_observation observation) {
+  peers_.Report(observation_message{std::string(target.id),
+                                    target.started_at_unix_ms, observation});
+}
+
+void edge_daemon::ReportLoss(std::uint64_t fingerprint,
+                             std::string_view target_id) {
+  peers_.Report(target_lost_message{fingerprint, std::string(target_id)});
+}
+
+void edge_daemon::OnObservation(const observation_message& report) {
+  state_.evidence().ObserveElsewhere(
+      {report.target_id, report.started_at_unix_ms}, report.observation,
+      time_.Now());
+}
+
+void edge_daemon::OnTargetLost(const target_lost_message& report) {
+  state_.crashes().RecordLoss(report.fingerprint, report.target_id,
+                              time_.Now());
+}
+
+void edge_daemon::OnHostsChanged() {
+  state_.SetFleet({.serving_hosts = hosts_.ServingHosts().size(),
+                   .zone_count = hosts_.zone_count(),
+                   .is_serving = hosts_.IsServing()},
+                  options_.self.zone);
+}
+
+void edge_daemon::ScheduleUpkeep() {
+  upkeep_timer_.expires_after(kUpkeepInterval);
+  upkeep_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      DoUpkeep();
+      ScheduleUpkeep();
+    }
+  });
+}
+
+void edge_daemon::DoUpkeep() {
+  const time_point now = time_.Now();
+  state_.connections().CloseExpired();
+  state_.evidence().Forget(now);
+  for (const target_change& change : state_.targets().Advance(now)) {
+    LogTargetChange(change);
+  }
+}
+
+void edge_daemon::Leave(std::function<void()> ended) {
+  if (is_leaving_) {
+    return;
+  }
+  is_leaving_ = true;
+  on_left_ = std::move(ended);
+  leave_began_ = time_.Now();
+  gateway_.BeginLeaving();
+  peers_.AnnounceLeaving();
+  log_.Write(log_level::kInfo, "host_leaving",
+             {{"host", options_.self.id},
+              {"unanswered", gateway_.UnansweredRequests()}});
+  ContinueLeaving();
+}
+
+void edge_daemon::ContinueLeaving() {
+  const std::size_t unanswered = gateway_.UnansweredRequests();
+  const leave_phase phase =
+      PhaseOfLeaving(time_.Now() - leave_began_, unanswered, options_.leaving);
+  if (phase == leave_phase::kEnded) {
+    log_.Write(unanswered == 0 ? log_level::kInfo : log_level::kWarning,
+               "host_stopped",
+               {{"host", options_.self.id}, {"cut_requests", unanswered}});
+    gateway_.CloseIdleSessions();
+    on_left_();
+    return;
+  }
+  if (phase == leave_phase::kRefusing) {
+    gateway_.BeginRefusing();
+  }
+  leave_timer_.expires_after(kLeaveStep);
+  leave_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      ContinueLeaving();
+    }
+  });
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/services/edge_daemon/edge_daemon.h
@@ -0,0 +1,114 @@
+#ifndef SERVICES_EDGE_DAEMON_EDGE_DAEMON_H_
+#define SERVICES_EDGE_DAEMON_EDGE_DAEMON_H_
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "libraries/base/random_source.h"
+#include "libraries/base/result.h"
+#include "libraries/event_loop/loop_clock.h"
+#include "libraries/gateway/gateway.h"
+#include "libraries/gateway/gateway_state.h"
+#include "libraries/peers/host_directory.h"
+#include "libraries/peers/peer_agent.h"
+#include "libraries/telemetry/bounded_log.h"
+#include "libraries/telemetry/metrics.h"
+#include "services/edge_daemon/leave_schedule.h"
+
+namespace bulrushshore {
+
+struct edge_options {
+  host_entry self;
+  gateway_options gateway;
+  host_directory_options hosts;
+  peer_agent_options peers;
+  leave_options leaving;
+};
+
+// A host that serves callers on one event loop: the gateway, what it knows of
+// targets and rules, and the exchange with the other hosts. Where rules,
+// targets and hosts come from is up to its owner. All calls on the event loop's
+// thread. Not thread safe.
+class edge_daemon : private evidence_reporter, private peer_events {
+ public:
+  // Precondition: `loop` outlives this object.
+  edge_daemon(boost::asio::io_context& loop, const edge_options& options);
+  edge_daemon(const edge_daemon&) = delete;
+  edge_daemon& operator=(const edge_daemon&) = delete;
+
+  // Binds the addresses of this host.
+  status Start();
+
+  // Puts a version of the rules in force unless a newer one is.
+  void ApplyRules(rule_set rules);
+
+  // Enter what the list of targets says.
+  void ApplyTarget(const target_entry& entry);
+  void RemoveTarget(std::string_view id);
+  void ReplaceTargets(std::span<const target_entry> entries);
+  void OnTargetListLost();
+  void OnTargetListRegained();
+
+  // Adds hosts from the list of hosts and announces this one to them.
+  void AddHosts(std::span<const host_entry> hosts);
+
+  // Ends the service in order and calls `ended` once.
+  void Leave(std::function<void()> ended);
+
+  // Returns true if callers may be sent to this host.
+  bool IsReady() const;
+
+  // Returns where callers of `zone` should connect.
+  std::vector<endpoint> AddressesFor(std::string_view zone) const;
+
+  metric_registry& metrics() { return metrics_; }
+  bounded_log& log() { return log_; }
+  const clock& time() const { return time_; }
+  random_source& random() { return random_; }
+  const host_entry& self() const { return hosts_.self(); }
+
+  // Returns all metrics as text.
+  std::string RenderMetrics();
+
+ private:
+  void ReportObservation(const evidence_board::target_key& target,
+                         target_observation observation) override;
+  void ReportLoss(std::uint64_t fingerprint,
+                  std::string_view target_id) override;
+  void OnObservation(const observation_message& report) override;
+  void OnTargetLost(const target_lost_message& report) override;
+  void OnHostsChanged() override;
+
+  void LogTargetChange(const target_change& change);
+  void ScheduleUpkeep();
+  void DoUpkeep();
+  void ContinueLeaving();
+
+  boost::asio::io_context& loop_;
+  edge_options options_;
+  loop_clock time_;
+  seeded_random random_;
+  bounded_log log_;
+  metric_registry metrics_;
+  gateway_telemetry telemetry_;
+  gateway_state state_;
+  gateway gateway_;
+  host_directory hosts_;
+  peer_agent peers_;
+  boost::asio::steady_timer upkeep_timer_;
+  boost::asio::steady_timer leave_timer_;
+  time_point leave_began_;
+  std::function<void()> on_left_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace bulrushshore
+
+#endif  // SERVICES_EDGE_DAEMON_EDGE_DAEMON_H_
