Notice store watches that were cut off without a word

Hosts asked again after 20 s only, so a target that had left got requests 2.0 s later (DRAIN).

Target changes are read in groups. Missing entries are held only if more than a third of a service is missing, since entries lapse together.

--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -84,6 +84,7 @@
   void SetFleet(const fleet_size& fleet, std::string_view zone);
 
   target_registry& targets() { return targets_; }
+  const target_registry& targets() const { return targets_; }
   evidence_board& evidence() { return evidence_; }
   crash_guard& crashes() { return crashes_; }
   work_classifier& durations() { return durations_; }
--- a/libraries/peers/host_directory.cc
+++ b/libraries/peers/host_directory.cc
@@ -227,6 +227,19 @@
       [this](const record* host) { return host->entry.id == self_.id; });
 }
 
+bool host_directory::IsZoneLeader() const {
+  const std::vector<const record*> serving = ServingOf(self_.zone);
+  return !serving.empty() && serving.front()->entry.id == self_.id;
+}
+
+std::vector<const host_entry*> host_directory::ZoneNeighbours() const {
+  std::vector<const host_entry*> neighbours = OtherHosts();
+  std::erase_if(neighbours, [this](const host_entry* host) {
+    return host->zone != self_.zone;
+  });
+  return neighbours;
+}
+
 bool host_directory::IsLost(std::string_view id) const {
   const auto found = hosts_.find(id);
   return found != hosts_.end() && found->second.is_lost;
--- a/libraries/peers/host_directory.h
+++ b/libraries/peers/host_directory.h
@@ -92,6 +92,13 @@
   std::vector<const host_entry*> OtherHosts() const;
 
   bool IsServing() const;
+
+  // Returns true if this host is the first of its zone's serving hosts.
+  bool IsZoneLeader() const;
+
+  // Returns the other hosts of this host's zone.
+  std::vector<const host_entry*> ZoneNeighbours() const;
+
   bool IsKnown(std::string_view id) const { return hosts_.contains(id); }
   bool IsLost(std::string_view id) const;
   std::size_t host_count() const { return hosts_.size(); }
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -108,6 +108,10 @@
   Broadcast(hosts_.OtherHosts(), report);
 }
 
+void peer_agent::PublishView(const view_message& view) {
+  Broadcast(hosts_.ZoneNeighbours(), view);
+}
+
 bool peer_agent::TryTakeReport() {
   const time_point now = time_.Now();
   const double elapsed =
@@ -223,6 +227,10 @@
   events_.OnTargetLost(body);
 }
 
+void peer_agent::HandleBody(const std::string&, const view_message& body) {
+  events_.OnView(body);
+}
+
 void peer_agent::ScheduleStep() {
   const double factor = 1.0 + kStepJitter * (2.0 * random_.UniformReal() - 1.0);
   step_timer_.expires_after(std::chrono::duration_cast<duration>(
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -29,6 +29,9 @@
   // Another host lost a target that ran a request.
   virtual void OnTargetLost(const target_lost_message& report) = 0;
 
+  // The zone's first serving host states what it knows.
+  virtual void OnView(const view_message& view) = 0;
+
   // Hosts were added, lost or found.
   virtual void OnHostsChanged() = 0;
 };
@@ -73,6 +76,9 @@
   void Report(const observation_message& report);
   void Report(const target_lost_message& report);
 
+  // Tells the hosts of this zone what this host knows.
+  void PublishView(const view_message& view);
+
  private:
   void Receive();
   void OnReceived(std::size_t size);
@@ -84,6 +90,7 @@
   void HandleBody(const std::string& sender, const host_lost_message& body);
   void HandleBody(const std::string& sender, const observation_message& body);
   void HandleBody(const std::string& sender, const target_lost_message& body);
+  void HandleBody(const std::string& sender, const view_message& body);
   bool IsFromHost(const peer_message& message) const;
   void ScheduleStep();
   void Step();
--- a/libraries/peers/peer_message.cc
+++ b/libraries/peers/peer_message.cc
@@ -46,6 +46,10 @@
     fields.push_back(body.fingerprint);
     fields.push_back(body.target_id);
   }
+  void operator()(const view_message& body) const {
+    fields.push_back(body.rules_version);
+    fields.push_back(body.targets_digest);
+  }
 };
 
 // Reads typed fields one after the other and remembers whether all were there.
@@ -152,6 +156,10 @@
       const std::uint64_t fingerprint = reader.Unsigned();
       return target_lost_message{fingerprint, reader.Text()};
     }
+    case 7: {
+      const std::uint64_t rules_version = reader.Unsigned();
+      return view_message{rules_version, reader.Unsigned()};
+    }
     default:
       reader.MarkFaulty();
       return leaving_message{};
--- a/libraries/peers/peer_message.h
+++ b/libraries/peers/peer_message.h
@@ -60,13 +60,23 @@
   bool operator==(const target_lost_message&) const = default;
 };
 
+// What the first serving host of a zone knows. The others of the zone compare
+// it with their own view to notice that their reading of the store is stuck.
+struct view_message {
+  std::uint64_t rules_version = 0;
+  std::uint64_t targets_digest = 0;
+
+  bool operator==(const view_message&) const = default;
+};
+
 using peer_body = std::variant<ping_message,
                                pong_message,
                                hello_message,
                                leaving_message,
                                host_lost_message,
                                observation_message,
-                               target_lost_message>;
+                               target_lost_message,
+                               view_message>;
 
 // One datagram between hosts.
 struct peer_message {
--- a/libraries/targets/target_registry.cc
+++ b/libraries/targets/target_registry.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace bulrushshore {
 namespace {
 
@@ -110,16 +112,17 @@
     }
     changes.push_back(Apply(entry, now));
   }
-  std::vector<std::string> missing;
+  std::map<std::string, std::vector<std::string>> missing;
   for (const auto& [id, known] : records_) {
     if (!listed.contains(id) && !known.held_until) {
-      missing.push_back(id);
+      missing[known.entry.service].push_back(id);
     }
   }
-  for (const std::string& id : missing) {
-    const std::optional<target_change> change = Remove(id, now);
-    if (change) {
-      changes.push_back(*change);
+  for (const auto& [service, ids] : missing) {
+    const bool have_lapsed = HaveLapsed(service, ids.size());
+    for (const std::string& id : ids) {
+      changes.push_back(have_lapsed ? *Remove(id, now)
+                                    : Erase(records_.find(id)));
     }
   }
   return changes;
@@ -191,10 +194,36 @@
   return count;
 }
 
+std::uint64_t target_registry::Digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [id, known] : records_) {
+    if (known.held_until) {
+      continue;
+    }
+    const target_entry& entry = known.entry;
+    const std::string text = id + '\n' + entry.service + '\n' +
+                             FormatEndpoint(entry.address) + '\n' +
+                             std::to_string(entry.started_at_unix_ms) +
+                             (entry.is_draining ? "d" : "");
+    digest ^= XXH3_64bits(text.data(), text.size());
+  }
+  return digest;
+}
+
 bool target_registry::IsRestoring(time_point now) const {
   return restoring_until_ && now < *restoring_until_;
 }
 
+bool target_registry::HaveLapsed(std::string_view service,
+                                 std::size_t missing) const {
+  const std::size_t known = static_cast<std::size_t>(std::count_if(
+      records_.begin(), records_.end(), [service](const auto& entry) {
+        return entry.second.entry.service == service;
+      }));
+  return static_cast<double>(missing) >
+         options_.departed_share * static_cast<double>(known);
+}
+
 void target_registry::Rebuild(std::string_view service) {
   std::vector<registered_target> targets;
   for (const auto& [id, known] : records_) {
--- a/libraries/targets/target_registry.h
+++ b/libraries/targets/target_registry.h
@@ -15,9 +15,12 @@
 namespace bulrushshore {
 
 struct target_registry_options {
-  // Entries that lapsed while the list was away are restored within this time
-  // of its return, so a missing one is not taken for gone before.
-  duration restore_time = std::chrono::milliseconds(1800);
+  // Entries that lapsed while the list was away are restored within about two
+  // seconds of its return, which this host notices up to half a second late.
+  duration restore_time = std::chrono::milliseconds(1500);
+  // If at most this share of a service's targets is missing after the list's
+  // return, they have left: entries lapse together.
+  double departed_share = 0.34;
 };
 
 // A target that may get requests.
@@ -62,8 +65,7 @@
   // Enters that the list no longer has the target.
   std::optional<target_change> Remove(std::string_view id, time_point now);
 
-  // Enters the complete list. `faulty_ids` are entries of it that could not be
-  // read; they are treated as missing.
+  // Enters the complete list.
   std::vector<target_change> Replace(std::span<const target_entry> entries,
                                      time_point now);
 
@@ -90,6 +92,9 @@
   // Returns the entry, or null.
   const target_entry* Find(std::string_view id) const;
 
+  // Returns a number that is equal on hosts that know the same entries.
+  std::uint64_t Digest() const;
+
   // Returns the number of targets that may get new requests.
   std::size_t usable_count() const;
 
@@ -105,6 +110,7 @@
   using record_map = std::map<std::string, record, std::less<>>;
 
   bool IsRestoring(time_point now) const;
+  bool HaveLapsed(std::string_view service, std::size_t missing) const;
   void Rebuild(std::string_view service);
   target_change Erase(record_map::iterator position);
 
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -1,5 +1,7 @@
 #include "services/edge_daemon/edge_daemon.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace bulrushshore {
@@ -7,6 +9,14 @@
 
 // Interval of work that only depends on time: idle connections, held targets.
 constexpr duration kUpkeepInterval = std::chrono::milliseconds(500);
+constexpr duration kMinUpkeepInterval = std::chrono::milliseconds(10);
+
+// The leader of a zone states its view at this interval and at each change.
+constexpr duration kViewInterval = std::chrono::seconds(1);
+
+// Hosts read a change at slightly different times; a difference that lasts
+// longer than this is looked into.
+constexpr duration kViewPatience = std::chrono::milliseconds(450);
 
 constexpr duration kLeaveStep = std::chrono::milliseconds(50);
 
@@ -24,7 +34,9 @@
       hosts_(options.self, random_, options.hosts),
       peers_(loop, time_, random_, hosts_, log_, *this, options.peers),
       upkeep_timer_(loop),
-      leave_timer_(loop) {}
+      leave_timer_(loop),
+      publish_timer_(loop),
+      view_timer_(loop) {}
 
 status edge_daemon::Start() {
   const status peers_started = peers_.Start();
@@ -51,12 +63,19 @@
       state_.SetRules(std::make_shared<const rule_set>(std::move(rules)));
   log_.Write(log_level::kInfo, is_new ? "rules_applied" : "rules_outdated",
              {{"version", version}, {"routes", routes}});
+  if (is_new) {
+    PublishView();
+  }
 }
 
 void edge_daemon::ApplyTarget(const target_entry& entry) {
   LogTargetChange(state_.targets().Apply(entry, time_.Now()));
 }
 
+void edge_daemon::OnTargetsRead() {
+  PublishView();
+}
+
 void edge_daemon::RemoveTarget(std::string_view id) {
   const std::optional<target_change> change =
       state_.targets().Remove(id, time_.Now());
@@ -71,6 +90,9 @@
   for (const target_change& change : changes) {
     LogTargetChange(change);
   }
+  if (!changes.empty()) {
+    PublishView();
+  }
 }
 
 void edge_daemon::OnTargetListLost() {
@@ -159,10 +181,84 @@
                    .zone_count = hosts_.zone_count(),
                    .is_serving = hosts_.IsServing()},
                   options_.self.zone);
+  const bool leads = hosts_.IsZoneLeader() && !is_leaving_;
+  if (leads == is_leading_) {
+    return;
+  }
+  is_leading_ = leads;
+  leader_view_.reset();
+  if (view_source_) {
+    view_source_->SetLeading(leads);
+  }
+  PublishView();
+}
+
+view_message edge_daemon::OwnView() const {
+  return {state_.rules() ? state_.rules()->rules().version : 0,
+          state_.targets().Digest()};
+}
+
+void edge_daemon::PublishView() {
+  if (!is_leading_ || is_leaving_) {
+    return;
+  }
+  peers_.PublishView(OwnView());
+  publish_timer_.expires_after(kViewInterval);
+  publish_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      PublishView();
+    }
+  });
+}
+
+void edge_daemon::OnView(const view_message& view) {
+  leader_view_ = view;
+  if (view == OwnView()) {
+    differing_checks_ = 0;
+    return;
+  }
+  ScheduleViewCheck();
+}
+
+void edge_daemon::ScheduleViewCheck() {
+  if (is_view_check_due_) {
+    return;
+  }
+  is_view_check_due_ = true;
+  view_timer_.expires_after(kViewPatience);
+  view_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      CheckView();
+    }
+  });
+}
+
+void edge_daemon::CheckView() {
+  is_view_check_due_ = false;
+  if (!leader_view_ || *leader_view_ == OwnView() || is_leading_) {
+    differing_checks_ = 0;
+    return;
+  }
+  ++differing_checks_;
+  log_.Write(log_level::kInfo, "view_differs",
+             {{"check", differing_checks_},
+              {"own_rules_version", OwnView().rules_version},
+              {"leader_rules_version", leader_view_->rules_version}});
+  if (view_source_) {
+    const view_message own = OwnView();
+    view_source_->OnViewDiffers(
+        {.is_in_rules = own.rules_version != leader_view_->rules_version,
+         .is_in_targets = own.targets_digest != leader_view_->targets_digest,
+         .checks = differing_checks_});
+  }
 }
 
 void edge_daemon::ScheduleUpkeep() {
-  upkeep_timer_.expires_after(kUpkeepInterval);
+  const time_point now = time_.Now();
+  const std::optional<time_point> decision = state_.targets().NextDecision();
+  upkeep_timer_.expires_at(std::clamp(decision.value_or(now + kUpkeepInterval),
+                                      now + kMinUpkeepInterval,
+                                      now + kUpkeepInterval));
   upkeep_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
       DoUpkeep();
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,6 +33,27 @@
   leave_options leaving;
 };
 
+struct view_difference {
+  bool is_in_rules = false;
+  bool is_in_targets = false;
+  // Counts the checks since the views were last equal, from 1.
+  int checks = 0;
+};
+
+// What the daemon asks of the code that reads the store for it. Called on the
+// event loop's thread.
+class view_source {
+ public:
+  virtual ~view_source() = default;
+
+  // This host's reading must be known to be current within a second, because
+  // others compare theirs with it; or need not any more.
+  virtual void SetLeading(bool is_leading) = 0;
+
+  // What this host read differs from what its zone's leader read.
+  virtual void OnViewDiffers(const view_difference& difference) = 0;
+};
+
 // A host that serves callers on one event loop: the gateway, what it knows of
 // targets and rules, and the exchange with the other hosts. Where rules,
 // targets and hosts come from is up to its owner. All calls on the event loop's
@@ -43,6 +65,10 @@
   edge_daemon(const edge_daemon&) = delete;
   edge_daemon& operator=(const edge_daemon&) = delete;
 
+  // Sets who reads the store. Precondition: called before Start(); `source`
+  // outlives this object.
+  void SetViewSource(view_source& source) { view_source_ = &source; }
+
   // Binds the addresses of this host.
   status Start();
 
@@ -53,6 +79,8 @@
   void ApplyTarget(const target_entry& entry);
   void RemoveTarget(std::string_view id);
   void ReplaceTargets(std::span<const target_entry> entries);
+  // A group of changes is complete.
+  void OnTargetsRead();
   void OnTargetListLost();
   void OnTargetListRegained();
 
@@ -84,9 +112,14 @@
                   std::string_view target_id) override;
   void OnObservation(const observation_message& report) override;
   void OnTargetLost(const target_lost_message& report) override;
+  void OnView(const view_message& view) override;
   void OnHostsChanged() override;
 
   void LogTargetChange(const target_change& change);
+  view_message OwnView() const;
+  void PublishView();
+  void ScheduleViewCheck();
+  void CheckView();
   void ScheduleUpkeep();
   void DoUpkeep();
   void ContinueLeaving();
@@ -104,6 +137,13 @@
   peer_agent peers_;
   boost::asio::steady_timer upkeep_timer_;
   boost::asio::steady_timer leave_timer_;
+  boost::asio::steady_timer publish_timer_;
+  boost::asio::steady_timer view_timer_;
+  view_source* view_source_ = nullptr;
+  std::optional<view_message> leader_view_;
+  int differing_checks_ = 0;
+  bool is_leading_ = false;
+  bool is_view_check_due_ = false;
   time_point leave_began_;
   std::function<void()> on_left_;
   bool is_leaving_ = false;
