Judge targets only by requests whose usual duration is known

Cause: hosts that callers are not sent to see only requests of idle routes, some of which last longer than their route's timeout.

Change: an overdue request counts as evidence only if the usual duration of its route is known here, a 504 of a target never does, and the weight of an overdue request falls from 0.5 to 0.35, since 3% of all requests take seven times the usual time.

--- a/libraries/admission/work_classifier.cc
+++ b/libraries/admission/work_classifier.cc
@@ -65,6 +65,16 @@
   return MeanDuration();
 }
 
+std::optional<duration> work_classifier::KnownDuration(
+    std::string_view kind) const {
+  const auto position = kinds_.find(kind);
+  if (position == kinds_.end() ||
+      position->second.samples < options_.minimum_samples) {
+    return std::nullopt;
+  }
+  return FromSeconds(position->second.mean);
+}
+
 std::optional<duration> work_classifier::MeanDuration() const {
   if (samples_ == 0) {
     return std::nullopt;
--- a/libraries/admission/work_classifier.h
+++ b/libraries/admission/work_classifier.h
@@ -37,6 +37,10 @@
   // not known yet; nothing before the first request.
   std::optional<duration> ExpectedDuration(std::string_view kind) const;
 
+  // Returns the average duration of the kind, or nothing before it was seen
+  // often enough to be classified.
+  std::optional<duration> KnownDuration(std::string_view kind) const;
+
   // Returns the average duration of all work.
   std::optional<duration> MeanDuration() const;
 
--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -81,11 +81,7 @@
   budget.RecordFirstAttempt();
   plan_.emplace(attempt_rules{route_->is_idempotent, route_->max_attempts},
                 budget);
-  overdue_after_ =
-      OverdueAfter(state_.durations()
-                       .ExpectedDuration(route_->name)
-                       .value_or(duration(route_->target_latency) / 3),
-                   route_->target_latency);
+  SetOverdueTime();
   StartAttempt("first");
 }
 
@@ -126,6 +122,14 @@
   }
 }
 
+void exchange::SetOverdueTime() {
+  const std::optional<duration> usual =
+      state_.durations().KnownDuration(route_->name);
+  is_duration_known_ = usual.has_value();
+  overdue_after_ = usual ? OverdueAfter(*usual, route_->target_latency)
+                         : duration(route_->target_latency) * 3 / 5;
+}
+
 bool exchange::IsHeldBack() {
   fingerprint_ = FingerprintOf(request_);
   if (!state_.crashes().HeldUntil(fingerprint_, state_.time().Now())) {
@@ -225,7 +229,11 @@
       answer_ = std::move(received.response);
       break;
     case attempt_end::kErrorAnswer:
-      ReportObservation(ended, target_observation::kFailure);
+      // A target that ran out of the request's time has been judged by its
+      // slowness.
+      if (received.response.status != kGatewayTimeout) {
+        ReportObservation(ended, target_observation::kFailure);
+      }
       state_.crashes().RecordCompleted(fingerprint_, now);
       error_answer_ = std::move(received.response);
       break;
@@ -348,7 +356,9 @@
 
 void exchange::OnOverdue(attempt& late) {
   late.is_overdue = true;
-  ReportObservation(late, target_observation::kOverdue);
+  if (is_duration_known_) {
+    ReportObservation(late, target_observation::kOverdue);
+  }
   if (!is_caller_gone_ && plan_->TryStartSecondAttempt()) {
     StartAttempt("overdue");
   }
--- a/libraries/gateway/exchange.h
+++ b/libraries/gateway/exchange.h
@@ -54,6 +54,7 @@
 
   bool FindRoute();
   void SetDeadlines();
+  void SetOverdueTime();
   bool IsHeldBack();
   void StartAttempt(std::string_view cause);
   proxy_request RequestFor(const target_entry& target) const;
@@ -88,6 +89,9 @@
   // The caller is answered then at the latest.
   time_point answer_by_;
   duration overdue_after_{};
+  // The usual duration is known, so an overdue request says something about its
+  // target.
+  bool is_duration_known_ = false;
   std::optional<attempt_plan> plan_;
   std::vector<std::shared_ptr<attempt>> attempts_;
   std::vector<std::string> tried_ids_;
--- a/libraries/placement/evidence_board.h
+++ b/libraries/placement/evidence_board.h
@@ -40,7 +40,7 @@
   // A success leaves this share of the suspicion.
   double success_factor = 0.5;
   double failure_weight = 1.0;
-  double overdue_weight = 0.5;
+  double overdue_weight = 0.35;
   double refusal_weight = 0.3;
   double reused_connection_weight = 0.3;
   double connect_failure_weight = 2.0;
