--- /dev/null
+++ b/stand_ins/platform_store/platform_store.cc
@@ -0,0 +1,314 @@
+#include "stand_ins/platform_store/platform_store.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "libraries/event_loop/socket_options.h"
+#include "libraries/http/message_writer.h"
+#include "libraries/http/request_reader.h"
+
+namespace bulrushshore {
+namespace {
+
+namespace asio = boost::asio;
+using json = nlohmann::json;
+
+proxy_response MakeResponse(int status, const json& body) {
+  proxy_response response{status, {}, body.dump()};
+  response.headers.Add("Content-Type", "application/json");
+  return response;
+}
+
+// The parts of "/objects/KIND/NAME?a=b".
+struct call_target {
+  std::string kind;
+  std::string name;
+  std::map<std::string, std::string> query;
+};
+
+call_target ParseTarget(std::string_view target) {
+  call_target parsed;
+  const std::size_t question = target.find('?');
+  std::string_view path = target.substr(0, question);
+  constexpr std::string_view kPrefix = "/objects/";
+  path.remove_prefix(std::min(path.size(), kPrefix.size()));
+  const std::size_t slash = path.find('/');
+  parsed.kind = path.substr(0, slash);
+  parsed.name = slash == std::string_view::npos ? "" : path.substr(slash + 1);
+  std::string_view rest =
+      question == std::string_view::npos ? "" : target.substr(question + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    parsed.query[std::string(pair.substr(0, equals))] =
+        equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+  }
+  return parsed;
+}
+
+}  // namespace
+
+struct platform_store_stand_in::connection {
+  explicit connection(asio::ip::tcp::socket accepted)
+      : socket(std::move(accepted)), timer(socket.get_executor()), reader({}) {}
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  request_reader reader;
+  std::string outgoing;
+  std::array<char, 8192> buffer{};
+  // Set while a watch waits.
+  std::optional<std::string> watched_kind;
+  std::int64_t watched_revision = 0;
+};
+
+platform_store_stand_in::platform_store_stand_in(asio::io_context& loop)
+    : loop_(loop), acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+  Accept();
+}
+
+platform_store_stand_in::~platform_store_stand_in() {
+  for (const std::shared_ptr<connection>& peer : connections_) {
+    peer->timer.cancel();
+    peer->socket.close();
+  }
+}
+
+endpoint platform_store_stand_in::address() const {
+  return {"127.0.0.1", acceptor_.local_endpoint().port()};
+}
+
+void platform_store_stand_in::Put(std::string_view kind,
+                                  std::string_view name,
+                                  json spec) {
+  json& object = objects_[std::string(kind)][std::string(name)];
+  ++revision_;
+  object = {{"metadata", {{"name", name}, {"revision", revision_}}},
+            {"spec", std::move(spec)}};
+  Record(std::string(kind), object, false);
+}
+
+void platform_store_stand_in::Remove(std::string_view kind,
+                                     std::string_view name) {
+  std::map<std::string, json>& objects = objects_[std::string(kind)];
+  const auto found = objects.find(std::string(name));
+  if (found == objects.end()) {
+    return;
+  }
+  const json object = found->second;
+  objects.erase(found);
+  ++revision_;
+  Record(std::string(kind), object, true);
+}
+
+bool platform_store_stand_in::Has(std::string_view kind,
+                                  std::string_view name) const {
+  const auto objects = objects_.find(std::string(kind));
+  return objects != objects_.end() &&
+         objects->second.contains(std::string(name));
+}
+
+int platform_store_stand_in::calls(const std::string& type) const {
+  const auto found = calls_.find(type);
+  return found == calls_.end() ? 0 : found->second;
+}
+
+void platform_store_stand_in::SilenceWatches() {
+  for (const std::shared_ptr<connection>& peer : connections_) {
+    if (peer->watched_kind) {
+      peer->watched_kind.reset();
+      peer->timer.cancel();
+    }
+  }
+}
+
+void platform_store_stand_in::DropHistory() {
+  history_.clear();
+  ++revision_;
+  oldest_revision_ = revision_;
+}
+
+void platform_store_stand_in::Record(const std::string& kind,
+                                     const json& object,
+                                     bool is_deleted) {
+  history_.push_back(
+      {revision_, kind, {{"object", object}, {"deleted", is_deleted}}});
+  for (const std::shared_ptr<connection>& peer : connections_) {
+    if (peer->watched_kind == kind) {
+      peer->watched_kind.reset();
+      peer->timer.cancel();
+      Answer(peer, ChangesSince(kind, peer->watched_revision));
+    }
+  }
+}
+
+void platform_store_stand_in::Accept() {
+  acceptor_.async_accept(
+      [this](const socket_error& error, asio::ip::tcp::socket socket) {
+        if (error) {
+          return;
+        }
+        const std::shared_ptr<connection> peer =
+            std::make_shared<connection>(std::move(socket));
+        connections_.push_back(peer);
+        Receive(peer);
+        Accept();
+      });
+}
+
+void platform_store_stand_in::Receive(const std::shared_ptr<connection>& peer) {
+  peer->socket.async_read_some(
+      asio::buffer(peer->buffer),
+      [this, peer](const socket_error& error, std::size_t size) {
+        if (error) {
+          peer->watched_kind.reset();
+          peer->timer.cancel();
+          return;
+        }
+        peer->reader.Append({peer->buffer.data(), size});
+        request_read_result next = peer->reader.Next();
+        if (const received_request* received =
+                std::get_if<received_request>(&next)) {
+          Handle(peer, received->request);
+        }
+        Receive(peer);
+      });
+}
+
+void platform_store_stand_in::Handle(const std::shared_ptr<connection>& peer,
+                                     const proxy_request& request) {
+  const call_target target = ParseTarget(request.target);
+  const bool is_watch = target.query.contains("watch");
+  ++calls_[request.method != "GET" ? "write" : is_watch ? "watch" : "list"];
+  if (is_away_) {
+    Answer(peer, MakeResponse(503, json::object()));
+    return;
+  }
+  if (request.method != "GET") {
+    Answer(peer, Write(request, target.kind, target.name));
+    return;
+  }
+  if (!is_watch) {
+    const auto after = target.query.find("after");
+    Answer(peer,
+           List(target.kind, after == target.query.end() ? "" : after->second));
+    return;
+  }
+  HandleWatch(peer, target.kind, std::atoll(target.query.at("watch").c_str()),
+              std::chrono::milliseconds(
+                  std::atoll(target.query.at("wait-ms").c_str())));
+}
+
+void platform_store_stand_in::HandleWatch(
+    const std::shared_ptr<connection>& peer,
+    const std::string& kind,
+    std::int64_t revision,
+    std::chrono::milliseconds wait) {
+  if (revision < oldest_revision_) {
+    Answer(peer, MakeResponse(410, json::object()));
+    return;
+  }
+  if (HasChange(kind, revision)) {
+    Answer(peer, ChangesSince(kind, revision));
+    return;
+  }
+  peer->watched_kind = kind;
+  peer->watched_revision = revision;
+  peer->timer.expires_after(wait);
+  peer->timer.async_wait([this, peer, kind](const socket_error& error) {
+    if (!error && peer->watched_kind) {
+      peer->watched_kind.reset();
+      Answer(peer, ChangesSince(kind, peer->watched_revision));
+    }
+  });
+}
+
+proxy_response platform_store_stand_in::List(const std::string& kind,
+                                             const std::string& after) const {
+  json items = json::array();
+  bool has_more = false;
+  const auto objects = objects_.find(kind);
+  if (objects != objects_.end()) {
+    for (auto entry = objects->second.upper_bound(after);
+         entry != objects->second.end(); ++entry) {
+      if (items.size() == page_size_) {
+        has_more = true;
+        break;
+      }
+      items.push_back(entry->second);
+    }
+  }
+  return MakeResponse(
+      200, {{"items", items}, {"has-more", has_more}, {"as-of", revision_}});
+}
+
+proxy_response platform_store_stand_in::Write(const proxy_request& request,
+                                              const std::string& kind,
+                                              const std::string& name) {
+  std::map<std::string, json>& objects = objects_[kind];
+  if (request.method == "DELETE") {
+    if (!objects.contains(name)) {
+      return MakeResponse(404, json::object());
+    }
+    Remove(kind, name);
+    return MakeResponse(200, json::object());
+  }
+  const json body = json::parse(request.body, nullptr, false);
+  if (body.is_discarded()) {
+    return MakeResponse(400, json::object());
+  }
+  if (request.method == "POST") {
+    const std::string created = body["metadata"]["name"];
+    if (objects.contains(created)) {
+      return MakeResponse(409, objects[created]);
+    }
+    Put(kind, created, body["spec"]);
+    return MakeResponse(200, objects[created]);
+  }
+  if (!objects.contains(name)) {
+    return MakeResponse(404, json::object());
+  }
+  if (body["metadata"].contains("revision") &&
+      body["metadata"]["revision"] != objects[name]["metadata"]["revision"]) {
+    return MakeResponse(409, objects[name]);
+  }
+  Put(kind, name, body["spec"]);
+  return MakeResponse(200, objects[name]);
+}
+
+bool platform_store_stand_in::HasChange(const std::string& kind,
+                                        std::int64_t revision) const {
+  return std::any_of(history_.begin(), history_.end(),
+                     [&kind, revision](const change& entry) {
+                       return entry.kind == kind && entry.revision > revision;
+                     });
+}
+
+proxy_response platform_store_stand_in::ChangesSince(
+    const std::string& kind,
+    std::int64_t revision) const {
+  json events = json::array();
+  for (const change& entry : history_) {
+    if (entry.kind == kind && entry.revision > revision) {
+      events.push_back(entry.event);
+    }
+  }
+  return MakeResponse(200, {{"events", events}, {"as-of", revision_}});
+}
+
+void platform_store_stand_in::Answer(const std::shared_ptr<connection>& peer,
+                                     const proxy_response& response) {
+  peer->outgoing = SerializeResponse(response, "GET", false);
+  asio::async_write(peer->socket, asio::buffer(peer->outgoing),
+                    [peer](const socket_error&, std::size_t) {});
+}
+
+}  // namespace bulrushshore
--- /dev/null
+++ b/stand_ins/platform_store/platform_store.h
@@ -0,0 +1,98 @@
+#ifndef STAND_INS_PLATFORM_STORE_PLATFORM_STORE_H_
+#define STAND_INS_PLATFORM_STORE_PLATFORM_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+#include "libraries/base/endpoint.h"
+#include "libraries/http/http_message.h"
+
+namespace bulrushshore {
+
+// A stand-in for the users' store: objects by kind and name with one revision
+// counter, lists in pages, watches, conditional writes, and the failures that
+// the real one has. Runs on the caller's event loop. Not thread safe.
+class platform_store_stand_in {
+ public:
+  // Listens on a free port of the loopback interface.
+  explicit platform_store_stand_in(boost::asio::io_context& loop);
+  ~platform_store_stand_in();
+  platform_store_stand_in(const platform_store_stand_in&) = delete;
+  platform_store_stand_in& operator=(const platform_store_stand_in&) = delete;
+
+  endpoint address() const;
+
+  // Writes an object as the operator or a target would.
+  void Put(std::string_view kind, std::string_view name, nlohmann::json spec);
+  void Remove(std::string_view kind, std::string_view name);
+
+  bool Has(std::string_view kind, std::string_view name) const;
+
+  // Answers every call with 503.
+  void SetOutage(bool is_away) { is_away_ = is_away; }
+
+  // Leaves the watches that wait now without any answer, for good.
+  void SilenceWatches();
+
+  // Drops the history: watches from earlier revisions get 410.
+  void DropHistory();
+
+  // Number of calls received, by "list", "watch" and "write".
+  int calls(const std::string& type) const;
+
+  // Objects in a page of a list.
+  void SetPageSize(std::size_t size) { page_size_ = size; }
+
+ private:
+  struct connection;
+  struct change {
+    std::int64_t revision = 0;
+    std::string kind;
+    nlohmann::json event;
+  };
+
+  void Accept();
+  void Receive(const std::shared_ptr<connection>& peer);
+  void Handle(const std::shared_ptr<connection>& peer,
+              const proxy_request& request);
+  void HandleWatch(const std::shared_ptr<connection>& peer,
+                   const std::string& kind,
+                   std::int64_t revision,
+                   std::chrono::milliseconds wait);
+  proxy_response List(const std::string& kind, const std::string& after) const;
+  proxy_response Write(const proxy_request& request,
+                       const std::string& kind,
+                       const std::string& name);
+  proxy_response ChangesSince(const std::string& kind,
+                              std::int64_t revision) const;
+  bool HasChange(const std::string& kind, std::int64_t revision) const;
+  void Record(const std::string& kind,
+              const nlohmann::json& object,
+              bool is_deleted);
+  void Answer(const std::shared_ptr<connection>& peer,
+              const proxy_response& response);
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+  std::deque<change> history_;
+  std::vector<std::shared_ptr<connection>> connections_;
+  std::map<std::string, int> calls_;
+  std::int64_t revision_ = 1;
+  std::int64_t oldest_revision_ = 0;
+  std::size_t page_size_ = 500;
+  bool is_away_ = false;
+};
+
+}  // namespace bulrushshore
+
+#endif  // STAND_INS_PLATFORM_STORE_PLATFORM_STORE_H_
--- /dev/null
+++ b/tests/edge_daemon/view_check_test.cc
@@ -0,0 +1,106 @@
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "services/edge_daemon/edge_daemon.h"
+
+namespace bulrushshore {
+namespace {
+
+using std::chrono::milliseconds;
+
+class recording_source : public view_source {
+ public:
+  void SetLeading(bool leads) override { is_leading = leads; }
+  void OnViewDiffers(const view_difference& difference) override {
+    differences.push_back(difference);
+  }
+
+  bool is_leading = false;
+  std::vector<view_difference> differences;
+};
+
+std::uint16_t FreePort(boost::asio::io_context& loop) {
+  boost::asio::ip::udp::socket probe(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+// Two hosts of a zone, of which one leads.
+class ViewCheckTest : public testing::Test {
+ protected:
+  ViewCheckTest() {
+    std::vector<host_entry> entries;
+    for (const char* id : {"host-1", "host-2"}) {
+      entries.push_back({id,
+                         "a",
+                         {"127.0.0.1", FreePort(loop_)},
+                         {"127.0.0.1", FreePort(loop_)}});
+    }
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+      edge_options options;
+      options.self = entries[index];
+      daemons_.push_back(std::make_unique<edge_daemon>(loop_, options));
+      sources_.push_back(std::make_unique<recording_source>());
+      daemons_[index]->SetViewSource(*sources_[index]);
+      EXPECT_TRUE(IsOk(daemons_[index]->Start()));
+    }
+    for (const std::unique_ptr<edge_daemon>& daemon : daemons_) {
+      daemon->AddHosts(entries);
+    }
+    RunUntil(
+        [this] { return sources_[0]->is_leading != sources_[1]->is_leading; });
+    leader_ = sources_[0]->is_leading ? 0 : 1;
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    const time_point end = time_.Now() + std::chrono::seconds(5);
+    while (!condition() && time_.Now() < end) {
+      loop_.run_for(milliseconds(10));
+    }
+  }
+
+  boost::asio::io_context loop_{1};
+  loop_clock time_;
+  std::vector<std::unique_ptr<recording_source>> sources_;
+  std::vector<std::unique_ptr<edge_daemon>> daemons_;
+  std::size_t leader_ = 0;
+};
+
+rule_set MakeRules(std::uint64_t version) {
+  rule_set rules;
+  rules.version = version;
+  return rules;
+}
+
+// Seen on hunt-4067-3 of etg-gateway: watches of the store were cut off without
+// a word on all hosts, and each kept its old list of targets for 20 s.
+TEST_F(ViewCheckTest, AHostThatMissedAChangeIsTold) {
+  const std::size_t follower = 1 - leader_;
+  daemons_[leader_]->ApplyRules(MakeRules(2));
+  RunUntil([&] { return !sources_[follower]->differences.empty(); });
+  ASSERT_FALSE(sources_[follower]->differences.empty());
+  EXPECT_TRUE(sources_[follower]->differences[0].is_in_rules);
+  EXPECT_FALSE(sources_[follower]->differences[0].is_in_targets);
+  EXPECT_TRUE(sources_[leader_]->differences.empty());
+}
+
+TEST_F(ViewCheckTest, AHostThatReadsTheChangeInTimeMakesNoCall) {
+  const std::size_t follower = 1 - leader_;
+  target_entry entry;
+  entry.id = "t1";
+  entry.service = "s";
+  for (const std::size_t index : {leader_, follower}) {
+    daemons_[index]->ApplyTarget(entry);
+    daemons_[index]->OnTargetsRead();
+  }
+  loop_.run_for(milliseconds(1200));
+  EXPECT_TRUE(sources_[follower]->differences.empty());
+}
+
+}  // namespace
+}  // namespace bulrushshore
--- /dev/null
+++ b/tests/peers/host_directory_test.cc
@@ -0,0 +1,150 @@
+#include "libraries/peers/host_directory.h"
+
+#include <algorithm>
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace bulrushshore {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kStart{std::chrono::hours(1)};
+constexpr int kHostsPerZone = 16;
+
+host_entry MakeHost(const std::string& zone, int number) {
+  const std::string id = zone + "-" + std::to_string(number);
+  return {
+      id,
+      zone,
+      {"10." + std::to_string(zone[0]) + ".0." + std::to_string(number), 80},
+      {"10.0.0.1", 7000}};
+}
+
+class HostDirectoryTest : public testing::Test {
+ protected:
+  HostDirectoryTest() {
+    for (const char* zone : {"a", "b", "c"}) {
+      for (int number = 1; number <= kHostsPerZone; ++number) {
+        directory_.Add(MakeHost(zone, number));
+      }
+    }
+  }
+
+  std::set<std::string> ServingIds(const std::string& zone) const {
+    std::set<std::string> ids;
+    for (const host_entry* host : directory_.ServingHosts()) {
+      if (host->zone == zone) {
+        ids.insert(host->id);
+      }
+    }
+    return ids;
+  }
+
+  // Runs the failure detector; hosts in `silent` do not answer.
+  std::set<std::string> Detect(const std::set<std::string>& silent,
+                               seconds time) {
+    std::set<std::string> lost;
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(100)) {
+      now_ += milliseconds(100);
+      directory_.Step(now_);
+      for (const host_entry* host : directory_.OtherHosts()) {
+        if (silent.contains(host->id)) {
+          if (directory_.IsLost(host->id)) {
+            lost.insert(host->id);
+          }
+        } else {
+          directory_.OnHeard(host->id, now_);
+        }
+      }
+    }
+    return lost;
+  }
+
+  seeded_random random_{3};
+  host_directory directory_{MakeHost("a", 1), random_};
+  time_point now_ = kStart;
+};
+
+// Few hosts must see the requests of a zone, and always the same ones.
+TEST_F(HostDirectoryTest, AllHostsSendCallersToTheSameFewHosts) {
+  host_directory other(MakeHost("b", 7), random_);
+  for (const char* zone : {"c", "b", "a"}) {
+    for (int number = kHostsPerZone; number > 0; --number) {
+      other.Add(MakeHost(zone, number));
+    }
+  }
+  EXPECT_EQ(directory_.AddressesFor("a").size(), 3U);
+  EXPECT_EQ(directory_.AddressesFor("a"), other.AddressesFor("a"));
+  EXPECT_EQ(directory_.zone_count(), 3U);
+}
+
+TEST_F(HostDirectoryTest, AnotherHostTakesThePlaceOfALostOne) {
+  const std::set<std::string> before = ServingIds("a");
+  std::string victim = *before.begin();
+  if (victim == "a-1") {
+    victim = *std::next(before.begin());
+  }
+  EXPECT_EQ(Detect({victim}, seconds(5)), std::set<std::string>{victim});
+  const std::set<std::string> after = ServingIds("a");
+  EXPECT_EQ(after.size(), 3U);
+  EXPECT_FALSE(after.contains(victim));
+  directory_.OnHeard(victim, now_);
+  EXPECT_EQ(ServingIds("a"), before);
+}
+
+TEST_F(HostDirectoryTest, AReportDoesNotOutweighAFreshMessage) {
+  directory_.OnHeard("a-2", kStart);
+  directory_.OnReportedLost("a-2", kStart + milliseconds(100));
+  EXPECT_FALSE(directory_.IsLost("a-2"));
+  directory_.OnReportedLost("a-2", kStart + seconds(2));
+  EXPECT_TRUE(directory_.IsLost("a-2"));
+  directory_.OnReportedLost("a-1", kStart + seconds(2));
+  EXPECT_FALSE(directory_.IsLost("a-1"));
+}
+
+// A host that is cut off must not tell the others that they are lost.
+TEST_F(HostDirectoryTest, AHostThatHearsNobodyReportsNobody) {
+  for (int step = 0; step < 100; ++step) {
+    now_ += milliseconds(500);
+    EXPECT_TRUE(directory_.Step(now_).lost_ids.empty());
+  }
+}
+
+TEST_F(HostDirectoryTest, AViewOfAlmostNobodyIsNotUsed) {
+  for (const char* zone : {"a", "b", "c"}) {
+    for (int number = 1; number <= kHostsPerZone; ++number) {
+      directory_.OnReportedLost(zone + ("-" + std::to_string(number)), kStart);
+    }
+  }
+  EXPECT_EQ(directory_.AddressesFor("b").size(), 3U);
+}
+
+TEST_F(HostDirectoryTest, CallersOfAZoneWithoutHostsUseOtherZones) {
+  EXPECT_EQ(directory_.AddressesFor("elsewhere").size(), 9U);
+}
+
+TEST_F(HostDirectoryTest, ALeavingHostIsForgottenAtOnce) {
+  const std::string leaving = *ServingIds("b").begin();
+  directory_.Remove(leaving);
+  EXPECT_FALSE(ServingIds("b").contains(leaving));
+  EXPECT_EQ(ServingIds("b").size(), 3U);
+}
+
+TEST_F(HostDirectoryTest, EachZoneHasOneLeader) {
+  int leaders = 0;
+  for (int number = 1; number <= kHostsPerZone; ++number) {
+    host_directory other(MakeHost("c", number), random_);
+    for (int added = 1; added <= kHostsPerZone; ++added) {
+      other.Add(MakeHost("c", added));
+    }
+    leaders += other.IsZoneLeader() ? 1 : 0;
+  }
+  EXPECT_EQ(leaders, 1);
+  EXPECT_EQ(directory_.ZoneNeighbours().size(), kHostsPerZone - 1U);
+}
+
+}  // namespace
+}  // namespace bulrushshore
--- /dev/null
+++ b/tests/peers/peer_agent_test.cc
@@ -0,0 +1,135 @@
+#include "libraries/peers/peer_agent.h"
+
+#include <memory>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+
+#include "libraries/event_loop/loop_clock.h"
+
+namespace bulrushshore {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One host with its own directory, on the loop of the test.
+class test_host : public peer_events {
+ public:
+  test_host(boost::asio::io_context& loop,
+            const clock& time,
+            bounded_log& log,
+            const host_entry& self,
+            std::uint64_t seed)
+      : random_(seed),
+        hosts(self, random_),
+        agent(loop,
+              time,
+              random_,
+              hosts,
+              log,
+              *this,
+              {.step_interval = milliseconds(40)}) {}
+
+  void OnObservation(const observation_message& report) override {
+    observations.push_back(report);
+  }
+  void OnTargetLost(const target_lost_message& report) override {
+    losses.push_back(report);
+  }
+  void OnView(const view_message& view) override { views.push_back(view); }
+  void OnHostsChanged() override {}
+
+ private:
+  seeded_random random_;
+
+ public:
+  host_directory hosts;
+  peer_agent agent;
+  std::vector<observation_message> observations;
+  std::vector<target_lost_message> losses;
+  std::vector<view_message> views;
+};
+
+std::uint16_t FreeUdpPort(boost::asio::io_context& loop) {
+  boost::asio::ip::udp::socket probe(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+class PeerAgentTest : public testing::Test {
+ protected:
+  PeerAgentTest() {
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+      const host_entry self{"host-" + std::to_string(number),
+                            "a",
+                            {"127.0.0.1", static_cast<std::uint16_t>(number)},
+                            {"127.0.0.1", FreeUdpPort(loop_)}};
+      hosts_.push_back(
+          std::make_unique<test_host>(loop_, time_, log_, self, number));
+    }
+    for (const std::unique_ptr<test_host>& host : hosts_) {
+      EXPECT_TRUE(IsOk(host->agent.Start()));
+    }
+    // The first host is the only one that the others are listed for.
+    for (const std::unique_ptr<test_host>& host : hosts_) {
+      hosts_[0]->hosts.Add(host->hosts.self());
+    }
+    hosts_[0]->agent.Announce();
+    loop_.run_for(milliseconds(50));
+    hosts_[1]->hosts.Add(hosts_[2]->hosts.self());
+    hosts_[1]->agent.Announce();
+    loop_.run_for(milliseconds(50));
+  }
+
+  boost::asio::io_context loop_{1};
+  loop_clock time_;
+  bounded_log log_{time_, {.lines_per_second = 0.0, .burst_lines = 0.0}};
+  std::vector<std::unique_ptr<test_host>> hosts_;
+};
+
+TEST_F(PeerAgentTest, HostsLearnOfEachOtherByTheirAnnouncements) {
+  EXPECT_EQ(hosts_[1]->hosts.host_count(), 3U);
+  EXPECT_EQ(hosts_[2]->hosts.host_count(), 3U);
+}
+
+TEST_F(PeerAgentTest, ReportsReachTheOtherHosts) {
+  hosts_[0]->agent.Report(
+      observation_message{"t", 5, target_observation::kFailure});
+  hosts_[0]->agent.Report(target_lost_message{9, "t"});
+  hosts_[0]->agent.PublishView({3, 4});
+  loop_.run_for(milliseconds(50));
+  for (std::size_t index : {1, 2}) {
+    ASSERT_EQ(hosts_[index]->observations.size(), 1U);
+    EXPECT_EQ(hosts_[index]->observations[0].target_id, "t");
+    ASSERT_EQ(hosts_[index]->losses.size(), 1U);
+    ASSERT_EQ(hosts_[index]->views.size(), 1U);
+  }
+}
+
+TEST_F(PeerAgentTest, ReportsAreBounded) {
+  for (int report = 0; report < 1000; ++report) {
+    hosts_[0]->agent.Report(
+        observation_message{"t", 5, target_observation::kFailure});
+  }
+  loop_.run_for(milliseconds(50));
+  EXPECT_LE(hosts_[1]->observations.size(), 25U);
+}
+
+// A datagram of an unknown sender must not change what this host believes.
+TEST_F(PeerAgentTest, IgnoresUnknownSenders) {
+  hosts_[1]->hosts.Remove("host-1");
+  hosts_[0]->agent.PublishView({3, 4});
+  loop_.run_for(milliseconds(30));
+  EXPECT_TRUE(hosts_[1]->views.empty());
+}
+
+TEST_F(PeerAgentTest, ALeavingHostIsForgotten) {
+  hosts_[2]->agent.AnnounceLeaving();
+  loop_.run_for(milliseconds(50));
+  EXPECT_FALSE(hosts_[0]->hosts.IsKnown("host-3"));
+  EXPECT_FALSE(hosts_[1]->hosts.IsKnown("host-3"));
+}
+
+}  // namespace
+}  // namespace bulrushshore
--- /dev/null
+++ b/tests/platform/platform_host_test.cc
@@ -0,0 +1,122 @@
+#include "platform/platform_host.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+
+#include "platform/endpoints.h"
+#include "platform/names.h"
+#include "stand_ins/platform_store/platform_store.h"
+
+namespace bulrushshore {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+endpoint FreeAddress(boost::asio::io_context& loop) {
+  const boost::asio::ip::tcp::acceptor probe(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+// A host with the stand-in of the store on one event loop.
+class PlatformHostTest : public testing::Test {
+ protected:
+  PlatformHostTest() {
+    process_settings settings;
+    settings.host_id = "front-1";
+    settings.zone = "z-a";
+    settings.region = "z";
+    settings.caller_address = FreeAddress(loop_);
+    settings.readiness_address = FreeAddress(loop_);
+    settings.discovery_address = FreeAddress(loop_);
+    settings.metrics_address = FreeAddress(loop_);
+    settings.peer_address = FreeAddress(loop_);
+    settings.store_address = store_.address();
+    settings.stop_grace = std::chrono::seconds(6);
+    settings_ = settings;
+  }
+
+  void Start() {
+    host_ = std::make_unique<platform_host>(loop_, settings_);
+    ASSERT_TRUE(IsOk(host_->Start()));
+  }
+
+  void PutConfiguration() {
+    store_.Put(platform_names::kConfigurationKind,
+               platform_names::kConfigurationName,
+               json::parse(R"({"version":"00000001","routes":{"r":{"host":"h",
+          "path-prefix":"/r/","kind":"safe","timeout-ms":1000,
+          "service":"s"}}})"));
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    const time_point end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      loop_.run_for(milliseconds(5));
+    }
+    EXPECT_TRUE(condition());
+  }
+
+  boost::asio::io_context loop_{1};
+  platform_store_stand_in store_{loop_};
+  process_settings settings_;
+  std::unique_ptr<platform_host> host_;
+};
+
+TEST_F(PlatformHostTest, IsReadyOnceItHasAConfiguration) {
+  Start();
+  RunUntil([this] { return store_.Has("bulrush-hosts", "front-1"); });
+  EXPECT_EQ(AnswerReadiness(host_->daemon(), {"GET", "/ready", {}, ""}).status,
+            503);
+  PutConfiguration();
+  RunUntil([this] { return host_->daemon().IsReady(); });
+  EXPECT_EQ(AnswerReadiness(host_->daemon(), {"GET", "/ready", {}, ""}).status,
+            200);
+}
+
+TEST_F(PlatformHostTest, TellsCallersWhereToConnect) {
+  Start();
+  const proxy_response answer =
+      AnswerDiscovery(host_->daemon(), std::chrono::seconds(2),
+                      {"GET", "/resolve?name=h&region=z&zone=z-a", {}, ""});
+  const json body = json::parse(answer.body);
+  EXPECT_EQ(body["addresses"],
+            json::array({FormatEndpoint(settings_.caller_address)}));
+  EXPECT_EQ(body["ttl-s"], 2);
+}
+
+TEST_F(PlatformHostTest, RegistersAgainWhenItsAddressChanged) {
+  store_.Put("bulrush-hosts", "front-1", json{{"zone", "old"}});
+  Start();
+  RunUntil([this] { return store_.calls("write") >= 2; });
+}
+
+TEST_F(PlatformHostTest, RegistersWhenTheStoreReturns) {
+  store_.SetOutage(true);
+  Start();
+  loop_.run_for(milliseconds(200));
+  store_.SetOutage(false);
+  RunUntil([this] { return store_.Has("bulrush-hosts", "front-1"); });
+}
+
+TEST_F(PlatformHostTest, LeavesTheListAndStopsInTime) {
+  PutConfiguration();
+  Start();
+  RunUntil([this] { return host_->daemon().IsReady(); });
+  host_->Leave();
+  EXPECT_FALSE(host_->daemon().IsReady());
+  const time_point asked = std::chrono::steady_clock::now();
+  loop_.run_for(std::chrono::seconds(10));
+  EXPECT_TRUE(loop_.stopped());
+  EXPECT_LT(std::chrono::steady_clock::now() - asked, std::chrono::seconds(6));
+  EXPECT_FALSE(store_.Has("bulrush-hosts", "front-1"));
+}
+
+}  // namespace
+}  // namespace bulrushshore
--- /dev/null
+++ b/tests/platform/store_watcher_test.cc
@@ -0,0 +1,134 @@
+#include "platform/store_watcher.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+
+#include "libraries/event_loop/loop_clock.h"
+#include "platform/json_fields.h"
+#include "stand_ins/platform_store/platform_store.h"
+
+namespace bulrushshore {
+namespace {
+
+using std::chrono::milliseconds;
+
+class recording_listener : public store_listener {
+ public:
+  void OnListed(const std::vector<nlohmann::json>& objects) override {
+    ++lists;
+    known.clear();
+    for (const nlohmann::json& object : objects) {
+      known[ObjectName(object).value_or("")] = object["spec"];
+    }
+  }
+  void OnChanged(const nlohmann::json& object, bool is_deleted) override {
+    const std::string name = ObjectName(object).value_or("");
+    if (is_deleted) {
+      known.erase(name);
+    } else {
+      known[name] = object["spec"];
+    }
+  }
+  void OnChangesRead() override { ++groups; }
+  void OnStoreLost() override { ++lost; }
+  void OnStoreRegained() override { ++regained; }
+
+  std::map<std::string, nlohmann::json> known;
+  int lists = 0;
+  int groups = 0;
+  int lost = 0;
+  int regained = 0;
+};
+
+class StoreWatcherTest : public testing::Test {
+ protected:
+  void Start() {
+    watcher_.Start();
+    RunUntil([this] { return store_.calls("watch") > 0; });
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    const time_point end = time_.Now() + std::chrono::seconds(4);
+    while (!condition() && time_.Now() < end) {
+      loop_.run_for(milliseconds(5));
+    }
+    EXPECT_TRUE(condition());
+  }
+
+  boost::asio::io_context loop_{1};
+  loop_clock time_;
+  seeded_random random_{1};
+  bounded_log log_{time_, {.lines_per_second = 0.0, .burst_lines = 0.0}};
+  platform_store_stand_in store_{loop_};
+  store_client client_{loop_, store_.address()};
+  recording_listener listener_;
+  store_watcher watcher_{loop_,     client_, "things", milliseconds(0),
+                         listener_, random_, log_};
+};
+
+TEST_F(StoreWatcherTest, ReadsAllPagesAndFollowsChanges) {
+  store_.SetPageSize(2);
+  for (const char* name : {"a", "b", "c", "d", "e"}) {
+    store_.Put("things", name, 1);
+  }
+  Start();
+  EXPECT_EQ(listener_.known.size(), 5U);
+  store_.Remove("things", "b");
+  store_.Put("things", "f", 2);
+  RunUntil([this] { return listener_.known.contains("f"); });
+  EXPECT_FALSE(listener_.known.contains("b"));
+  EXPECT_EQ(listener_.lists, 1);
+}
+
+TEST_F(StoreWatcherTest, ReadsTheListAgainWhenTheHistoryIsGone) {
+  Start();
+  store_.SilenceWatches();
+  store_.Put("things", "a", 1);
+  store_.DropHistory();
+  watcher_.Renew(false);
+  RunUntil([this] { return listener_.known.contains("a"); });
+  EXPECT_EQ(listener_.lists, 2);
+  EXPECT_EQ(listener_.lost, 0);
+}
+
+TEST_F(StoreWatcherTest, ReportsTheLossAndTheReturnOfTheStore) {
+  Start();
+  store_.SetOutage(true);
+  watcher_.Renew(true);
+  RunUntil([this] { return listener_.lost == 1; });
+  store_.Put("things", "a", 1);
+  store_.SetOutage(false);
+  RunUntil([this] { return listener_.known.contains("a"); });
+  EXPECT_EQ(listener_.lost, 1);
+  EXPECT_EQ(listener_.regained, 1);
+}
+
+// Seen on hunt-4067-3 of etg-gateway: a watch that was cut off without a word
+// kept the host's list of targets as it was for 20 s.
+TEST_F(StoreWatcherTest, AShortWatchNoticesThatItWasCutOff) {
+  watcher_.SetWatch(milliseconds(200), read_consistency::kCurrent);
+  Start();
+  store_.SilenceWatches();
+  store_.Put("things", "a", 1);
+  const time_point cut = time_.Now();
+  RunUntil([this] { return listener_.known.contains("a"); });
+  EXPECT_LT(time_.Now() - cut, milliseconds(1500));
+}
+
+TEST_F(StoreWatcherTest, RenewingReadsWhatASilentWatchHeldBack) {
+  Start();
+  store_.SilenceWatches();
+  store_.Put("things", "a", 1);
+  loop_.run_for(milliseconds(50));
+  EXPECT_FALSE(listener_.known.contains("a"));
+  watcher_.Renew(false);
+  RunUntil([this] { return listener_.known.contains("a"); });
+  EXPECT_EQ(listener_.lists, 1);
+}
+
+}  // namespace
+}  // namespace bulrushshore
