--- a/libraries/peers/host_directory.cc
+++ b/libraries/peers/host_registry.cc
@@ -1,4 +1,4 @@
-#include "libraries/peers/host_directory.h"
+#include "libraries/peers/host_registry.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,14 +25,14 @@
 
 }  // namespace
 
-host_directory::host_directory(host_entry self,
-                               random_source& random,
-                               const host_directory_options& options)
+host_registry::host_registry(host_entry self,
+                             random_source& random,
+                             const host_registry_options& options)
     : self_(std::move(self)), random_(random), options_(options) {
   Add(self_);
 }
 
-void host_directory::Add(const host_entry& host) {
+void host_registry::Add(const host_entry& host) {
   record& known = hosts_[host.id];
   if (known.entry == host) {
     return;
@@ -42,14 +42,14 @@
   known.rank = RankOf(host.id);
 }
 
-void host_directory::Remove(std::string_view id) {
+void host_registry::Remove(std::string_view id) {
   const auto found = hosts_.find(id);
   if (found != hosts_.end() && id != self_.id) {
     hosts_.erase(found);
   }
 }
 
-void host_directory::OnHeard(std::string_view id, time_point now) {
+void host_registry::OnHeard(std::string_view id, time_point now) {
   const auto found = hosts_.find(id);
   if (found == hosts_.end()) {
     return;
@@ -61,7 +61,7 @@
   heard_any_ = now;
 }
 
-void host_directory::OnReportedLost(std::string_view id, time_point now) {
+void host_registry::OnReportedLost(std::string_view id, time_point now) {
   const auto found = hosts_.find(id);
   if (found == hosts_.end() || id == self_.id) {
     return;
@@ -74,7 +74,7 @@
   }
 }
 
-detector_actions host_directory::Step(time_point now) {
+detector_actions host_registry::Step(time_point now) {
   detector_actions actions;
   CheckPings(now, actions);
   const std::optional<std::string> next = NextToWatch();
@@ -88,7 +88,7 @@
   return actions;
 }
 
-void host_directory::CheckPings(time_point now, detector_actions& actions) {
+void host_registry::CheckPings(time_point now, detector_actions& actions) {
   // A host that hears nobody cannot tell who is lost.
   const bool can_judge =
       heard_any_ &&
@@ -118,16 +118,16 @@
   }
 }
 
-void host_directory::Ping(record& host,
-                          time_point now,
-                          detector_actions& actions) {
+void host_registry::Ping(record& host,
+                         time_point now,
+                         detector_actions& actions) {
   host.pinged = now;
   ++host.pings_sent;
   actions.pings.push_back(
       {host.entry.peer_address, random_.Next(), host.is_lost});
 }
 
-std::optional<std::string> host_directory::NextToWatch() {
+std::optional<std::string> host_registry::NextToWatch() {
   std::vector<const record*> watched;
   if (steps_ % kOtherZoneInterval == kOtherZoneInterval - 1) {
     for (const record_map::value_type& known : hosts_) {
@@ -152,7 +152,7 @@
   return watched[random_.Uniform(watched.size())]->entry.id;
 }
 
-std::vector<const host_directory::record*> host_directory::ServingOf(
+std::vector<const host_registry::record*> host_registry::ServingOf(
     std::string_view zone) const {
   const double answering = static_cast<double>(hosts_.size() - lost_count());
   const bool trusts_view =
@@ -182,8 +182,7 @@
   return serving;
 }
 
-std::vector<endpoint> host_directory::AddressesFor(
-    std::string_view zone) const {
+std::vector<endpoint> host_registry::AddressesFor(std::string_view zone) const {
   std::vector<endpoint> addresses;
   for (const record* host : ServingOf(zone)) {
     addresses.push_back(host->entry.caller_address);
@@ -196,7 +195,7 @@
   return addresses;
 }
 
-std::vector<const host_entry*> host_directory::ServingHosts() const {
+std::vector<const host_entry*> host_registry::ServingHosts() const {
   std::set<std::string_view> zones;
   for (const record_map::value_type& known : hosts_) {
     zones.insert(known.second.entry.zone);
@@ -210,7 +209,7 @@
   return serving;
 }
 
-std::vector<const host_entry*> host_directory::OtherHosts() const {
+std::vector<const host_entry*> host_registry::OtherHosts() const {
   std::vector<const host_entry*> others;
   for (const record_map::value_type& known : hosts_) {
     if (known.first != self_.id) {
@@ -220,19 +219,19 @@
   return others;
 }
 
-bool host_directory::IsServing() const {
+bool host_registry::IsServing() const {
   const std::vector<const record*> serving = ServingOf(self_.zone);
   return std::any_of(
       serving.begin(), serving.end(),
       [this](const record* host) { return host->entry.id == self_.id; });
 }
 
-bool host_directory::IsZoneLeader() const {
+bool host_registry::IsZoneLeader() const {
   const std::vector<const record*> serving = ServingOf(self_.zone);
   return !serving.empty() && serving.front()->entry.id == self_.id;
 }
 
-std::vector<const host_entry*> host_directory::ZoneNeighbours() const {
+std::vector<const host_entry*> host_registry::ZoneNeighbours() const {
   std::vector<const host_entry*> neighbours = OtherHosts();
   std::erase_if(neighbours, [this](const host_entry* host) {
     return host->zone != self_.zone;
@@ -240,19 +239,19 @@
   return neighbours;
 }
 
-bool host_directory::IsLost(std::string_view id) const {
+bool host_registry::IsLost(std::string_view id) const {
   const auto found = hosts_.find(id);
   return found != hosts_.end() && found->second.is_lost;
 }
 
-std::size_t host_directory::lost_count() const {
+std::size_t host_registry::lost_count() const {
   return static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [](const record_map::value_type& known) {
         return known.second.is_lost;
       }));
 }
 
-std::size_t host_directory::zone_count() const {
+std::size_t host_registry::zone_count() const {
   std::set<std::string_view> zones;
   for (const record_map::value_type& known : hosts_) {
     zones.insert(known.second.entry.zone);
--- a/libraries/peers/host_directory.h
+++ b/libraries/peers/host_registry.h
@@ -1,5 +1,5 @@
-#ifndef LIBRARIES_PEERS_HOST_DIRECTORY_H_
-#define LIBRARIES_PEERS_HOST_DIRECTORY_H_
+#ifndef LIBRARIES_PEERS_HOST_REGISTRY_H_
+#define LIBRARIES_PEERS_HOST_REGISTRY_H_
 
 #include <cstdint>
 #include <map>
@@ -26,7 +26,7 @@
   bool operator==(const host_entry&) const = default;
 };
 
-struct host_directory_options {
+struct host_registry_options {
   // Hosts of a zone that callers are sent to. Few hosts see enough requests
   // each to judge targets and to keep connections in use.
   std::size_t serving_hosts_per_zone = 3;
@@ -59,12 +59,12 @@
 // to. Hosts of a zone watch the zone's serving hosts in turn, so that the cost
 // per host does not grow with the fleet; hosts of other zones are asked now and
 // then, for the loss of a whole zone. It never reads a clock. Not thread safe.
-class host_directory {
+class host_registry {
  public:
   // Precondition: `random` outlives this object.
-  host_directory(host_entry self,
-                 random_source& random,
-                 const host_directory_options& options = {});
+  host_registry(host_entry self,
+                random_source& random,
+                const host_registry_options& options = {});
 
   // Adds a host or renews its entry.
   void Add(const host_entry& host);
@@ -125,7 +125,7 @@
 
   host_entry self_;
   random_source& random_;
-  host_directory_options options_;
+  host_registry_options options_;
   record_map hosts_;
   std::optional<time_point> heard_any_;
   std::uint64_t steps_ = 0;
@@ -133,4 +133,4 @@
 
 }  // namespace bulrushshore
 
-#endif  // LIBRARIES_PEERS_HOST_DIRECTORY_H_
+#endif  // LIBRARIES_PEERS_HOST_REGISTRY_H_
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -32,7 +32,7 @@
 peer_agent::peer_agent(asio::io_context& loop,
                        const clock& time,
                        random_source& random,
-                       host_directory& hosts,
+                       host_registry& hosts,
                        bounded_log& log,
                        peer_events& events,
                        const peer_agent_options& options)
@@ -81,7 +81,7 @@
     return;
   }
   --announcements_left_;
-  Broadcast(hosts_.OtherHosts(), hello_message{hosts_.self()});
+  Broadcast(hosts_.OtherHosts(), hello_body{hosts_.self()});
   announcement_timer_.expires_after(options_.announcement_interval);
   announcement_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
@@ -93,22 +93,22 @@
 void peer_agent::AnnounceLeaving() {
   is_leaving_ = true;
   for (int sent = 0; sent < options_.announcements; ++sent) {
-    Broadcast(hosts_.OtherHosts(), leaving_message{});
+    Broadcast(hosts_.OtherHosts(), leaving_body{});
   }
 }
 
-void peer_agent::Report(const observation_message& report) {
+void peer_agent::Report(const observation_report& report) {
   if (TryTakeReport()) {
     Broadcast(hosts_.ServingHosts(), report);
   }
 }
 
-void peer_agent::Report(const target_lost_message& report) {
+void peer_agent::Report(const target_loss_report& report) {
   // Callers repeat a request that crashes targets at any host.
   Broadcast(hosts_.OtherHosts(), report);
 }
 
-void peer_agent::PublishView(const view_message& view) {
+void peer_agent::PublishView(const host_view& view) {
   Broadcast(hosts_.ZoneNeighbours(), view);
 }
 
@@ -142,8 +142,8 @@
 }
 
 void peer_agent::OnReceived(std::size_t size) {
-  const result<peer_message> message =
-      DecodePeerMessage({buffer_.data(), size});
+  const result<peer_datagram> message =
+      DecodePeerDatagram({buffer_.data(), size});
   if (!IsOk(message) || !IsFromHost(ValueOf(message))) {
     log_.Write(
         log_level::kWarning, "peer_message_refused",
@@ -154,9 +154,9 @@
   Handle(ValueOf(message));
 }
 
-bool peer_agent::IsFromHost(const peer_message& message) const {
+bool peer_agent::IsFromHost(const peer_datagram& message) const {
   const std::string ip = sender_.address().to_string();
-  if (const hello_message* hello = std::get_if<hello_message>(&message.body)) {
+  if (const hello_body* hello = std::get_if<hello_body>(&message.body)) {
     return hello->host.peer_address.ip == ip;
   }
   const std::vector<const host_entry*> others = hosts_.OtherHosts();
@@ -177,7 +177,7 @@
   }
 };
 
-void peer_agent::Handle(const peer_message& message) {
+void peer_agent::Handle(const peer_datagram& message) {
   const bool was_lost = hosts_.IsLost(message.sender_id);
   hosts_.OnHeard(message.sender_id, time_.Now());
   std::visit(body_handler{*this, message.sender_id}, message.body);
@@ -187,18 +187,16 @@
   }
 }
 
-void peer_agent::HandleBody(const std::string&, const ping_message& body) {
-  Send({sender_.address().to_string(), sender_.port()},
-       pong_message{body.nonce});
+void peer_agent::HandleBody(const std::string&, const ping_body& body) {
+  Send({sender_.address().to_string(), sender_.port()}, pong_body{body.nonce});
   if (body.is_believed_lost && announcements_left_ == 0) {
     Announce();
   }
 }
 
-void peer_agent::HandleBody(const std::string&, const pong_message&) {}
+void peer_agent::HandleBody(const std::string&, const pong_body&) {}
 
-void peer_agent::HandleBody(const std::string& sender,
-                            const hello_message& body) {
+void peer_agent::HandleBody(const std::string& sender, const hello_body& body) {
   const bool is_new = !hosts_.IsKnown(sender);
   hosts_.Add(body.host);
   hosts_.OnHeard(sender, time_.Now());
@@ -209,14 +207,14 @@
   }
 }
 
-void peer_agent::HandleBody(const std::string& sender, const leaving_message&) {
+void peer_agent::HandleBody(const std::string& sender, const leaving_body&) {
   hosts_.Remove(sender);
   log_.Write(log_level::kInfo, "host_leaving", {{"host", sender}});
   events_.OnHostsChanged();
 }
 
 void peer_agent::HandleBody(const std::string& sender,
-                            const host_lost_message& body) {
+                            const host_lost_body& body) {
   const bool was_lost = hosts_.IsLost(body.host_id);
   hosts_.OnReportedLost(body.host_id, time_.Now());
   if (!was_lost && hosts_.IsLost(body.host_id)) {
@@ -227,16 +225,16 @@
 }
 
 void peer_agent::HandleBody(const std::string&,
-                            const observation_message& body) {
+                            const observation_report& body) {
   events_.OnObservation(body);
 }
 
 void peer_agent::HandleBody(const std::string&,
-                            const target_lost_message& body) {
+                            const target_loss_report& body) {
   events_.OnTargetLost(body);
 }
 
-void peer_agent::HandleBody(const std::string&, const view_message& body) {
+void peer_agent::HandleBody(const std::string&, const host_view& body) {
   events_.OnView(body);
 }
 
@@ -259,12 +257,12 @@
   const std::size_t lost_before = hosts_.lost_count();
   const detector_actions actions = hosts_.Step(time_.Now());
   for (const due_ping& ping : actions.pings) {
-    Send(ping.address, ping_message{ping.nonce, ping.is_believed_lost});
+    Send(ping.address, ping_body{ping.nonce, ping.is_believed_lost});
   }
   for (const std::string& id : actions.lost_ids) {
     log_.Write(log_level::kInfo, "host_lost",
                {{"host", id}, {"reported_by", hosts_.self().id}});
-    Broadcast(hosts_.OtherHosts(), host_lost_message{id});
+    Broadcast(hosts_.OtherHosts(), host_lost_body{id});
   }
   if (hosts_.lost_count() != lost_before) {
     events_.OnHostsChanged();
@@ -276,7 +274,7 @@
   if (!IsOk(receiver)) {
     return;
   }
-  const std::string bytes = EncodePeerMessage({hosts_.self().id, body});
+  const std::string bytes = EncodePeerDatagram({hosts_.self().id, body});
   socket_error ignored;  // Datagrams may get lost; the next step sends again.
   socket_.send_to(asio::buffer(bytes), ValueOf(receiver), 0, ignored);
 }
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -12,8 +12,8 @@
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
 #include "libraries/base/result.h"
-#include "libraries/peers/host_directory.h"
-#include "libraries/peers/peer_message.h"
+#include "libraries/peers/host_registry.h"
+#include "libraries/peers/peer_datagram.h"
 #include "libraries/telemetry/bounded_log.h"
 
 namespace bulrushshore {
@@ -24,13 +24,13 @@
   virtual ~peer_events() = default;
 
   // A request of another host ended badly at a target.
-  virtual void OnObservation(const observation_message& report) = 0;
+  virtual void OnObservation(const observation_report& report) = 0;
 
   // Another host lost a target that ran a request.
-  virtual void OnTargetLost(const target_lost_message& report) = 0;
+  virtual void OnTargetLost(const target_loss_report& report) = 0;
 
   // The zone's first serving host states what it knows.
-  virtual void OnView(const view_message& view) = 0;
+  virtual void OnView(const host_view& view) = 0;
 
   // Hosts were added, lost or found.
   virtual void OnHostsChanged() = 0;
@@ -56,7 +56,7 @@
   peer_agent(boost::asio::io_context& loop,
              const clock& time,
              random_source& random,
-             host_directory& hosts,
+             host_registry& hosts,
              bounded_log& log,
              peer_events& events,
              const peer_agent_options& options = {});
@@ -73,27 +73,27 @@
   void AnnounceLeaving();
 
   // Tells the hosts that take requests what a request showed about a target.
-  void Report(const observation_message& report);
-  void Report(const target_lost_message& report);
+  void Report(const observation_report& report);
+  void Report(const target_loss_report& report);
 
   // Tells the hosts of this zone what this host knows.
-  void PublishView(const view_message& view);
+  void PublishView(const host_view& view);
 
  private:
   struct body_handler;
 
   void Receive();
   void OnReceived(std::size_t size);
-  void Handle(const peer_message& message);
-  void HandleBody(const std::string& sender, const ping_message& body);
-  void HandleBody(const std::string& sender, const pong_message& body);
-  void HandleBody(const std::string& sender, const hello_message& body);
-  void HandleBody(const std::string& sender, const leaving_message& body);
-  void HandleBody(const std::string& sender, const host_lost_message& body);
-  void HandleBody(const std::string& sender, const observation_message& body);
-  void HandleBody(const std::string& sender, const target_lost_message& body);
-  void HandleBody(const std::string& sender, const view_message& body);
-  bool IsFromHost(const peer_message& message) const;
+  void Handle(const peer_datagram& message);
+  void HandleBody(const std::string& sender, const ping_body& body);
+  void HandleBody(const std::string& sender, const pong_body& body);
+  void HandleBody(const std::string& sender, const hello_body& body);
+  void HandleBody(const std::string& sender, const leaving_body& body);
+  void HandleBody(const std::string& sender, const host_lost_body& body);
+  void HandleBody(const std::string& sender, const observation_report& body);
+  void HandleBody(const std::string& sender, const target_loss_report& body);
+  void HandleBody(const std::string& sender, const host_view& body);
+  bool IsFromHost(const peer_datagram& message) const;
   void ScheduleStep();
   void Step();
   void ScheduleAnnouncement();
@@ -108,7 +108,7 @@
   boost::asio::steady_timer announcement_timer_;
   const clock& time_;
   random_source& random_;
-  host_directory& hosts_;
+  host_registry& hosts_;
   bounded_log& log_;
   peer_events& events_;
   peer_agent_options options_;
--- a/libraries/peers/peer_message.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -1,4 +1,4 @@
-#include "libraries/peers/peer_message.h"
+#include "libraries/peers/peer_datagram.h"
 
 #include <cstddef>
 #include <utility>
@@ -21,32 +21,30 @@
 struct field_writer {
   json& fields;
 
-  void operator()(const ping_message& body) const {
+  void operator()(const ping_body& body) const {
     fields.push_back(body.nonce);
     fields.push_back(body.is_believed_lost);
   }
-  void operator()(const pong_message& body) const {
-    fields.push_back(body.nonce);
-  }
-  void operator()(const hello_message& body) const {
+  void operator()(const pong_body& body) const { fields.push_back(body.nonce); }
+  void operator()(const hello_body& body) const {
     fields.push_back(body.host.zone);
     fields.push_back(FormatEndpoint(body.host.caller_address));
     fields.push_back(FormatEndpoint(body.host.peer_address));
   }
-  void operator()(const leaving_message&) const {}
-  void operator()(const host_lost_message& body) const {
+  void operator()(const leaving_body&) const {}
+  void operator()(const host_lost_body& body) const {
     fields.push_back(body.host_id);
   }
-  void operator()(const observation_message& body) const {
+  void operator()(const observation_report& body) const {
     fields.push_back(body.target_id);
     fields.push_back(body.started_at_unix_ms);
     fields.push_back(static_cast<std::uint64_t>(body.observation));
   }
-  void operator()(const target_lost_message& body) const {
+  void operator()(const target_loss_report& body) const {
     fields.push_back(body.fingerprint);
     fields.push_back(body.target_id);
   }
-  void operator()(const view_message& body) const {
+  void operator()(const host_view& body) const {
     fields.push_back(body.rules_version);
     fields.push_back(body.targets_digest);
   }
@@ -124,12 +122,12 @@
   switch (type) {
     case 0: {
       const std::uint64_t nonce = reader.Unsigned();
-      return ping_message{nonce, reader.Boolean()};
+      return ping_body{nonce, reader.Boolean()};
     }
     case 1:
-      return pong_message{reader.Unsigned()};
+      return pong_body{reader.Unsigned()};
     case 2: {
-      hello_message body;
+      hello_body body;
       body.host.id = sender;
       body.host.zone = reader.Text();
       body.host.caller_address = reader.Address();
@@ -137,11 +135,11 @@
       return body;
     }
     case 3:
-      return leaving_message{};
+      return leaving_body{};
     case 4:
-      return host_lost_message{reader.Text()};
+      return host_lost_body{reader.Text()};
     case 5: {
-      observation_message body;
+      observation_report body;
       body.target_id = reader.Text();
       body.started_at_unix_ms = reader.Signed();
       const std::uint64_t observation = reader.Unsigned();
@@ -154,28 +152,28 @@
     }
     case 6: {
       const std::uint64_t fingerprint = reader.Unsigned();
-      return target_lost_message{fingerprint, reader.Text()};
+      return target_loss_report{fingerprint, reader.Text()};
     }
     case 7: {
       const std::uint64_t rules_version = reader.Unsigned();
-      return view_message{rules_version, reader.Unsigned()};
+      return host_view{rules_version, reader.Unsigned()};
     }
     default:
       reader.MarkFaulty();
-      return leaving_message{};
+      return leaving_body{};
   }
 }
 
 }  // namespace
 
-std::string EncodePeerMessage(const peer_message& message) {
+std::string EncodePeerDatagram(const peer_datagram& message) {
   json fields = json::array({message.sender_id, message.body.index()});
   std::visit(field_writer{fields}, message.body);
   const std::vector<std::uint8_t> bytes = json::to_cbor(fields);
   return {bytes.begin(), bytes.end()};
 }
 
-result<peer_message> DecodePeerMessage(std::string_view bytes) {
+result<peer_datagram> DecodePeerDatagram(std::string_view bytes) {
   const error faulty{error_code::kInvalidArgument, "faulty peer message"};
   if (!IsBoundedCbor(bytes)) {
     return faulty;
@@ -185,7 +183,7 @@
     return faulty;
   }
   field_reader reader(fields);
-  peer_message message;
+  peer_datagram message;
   message.sender_id = reader.Text();
   const std::uint64_t type = reader.Unsigned();
   message.body = ReadBody(type, message.sender_id, reader);
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -156,22 +156,22 @@
 
 void edge_daemon::ReportObservation(const evidence_board::target_key& target,
                                     target_observation observation) {
-  peers_.Report(observation_message{std::string(target.id),
-                                    target.started_at_unix_ms, observation});
+  peers_.Report(observation_report{std::string(target.id),
+                                   target.started_at_unix_ms, observation});
 }
 
 void edge_daemon::ReportLoss(std::uint64_t fingerprint,
                              std::string_view target_id) {
-  peers_.Report(target_lost_message{fingerprint, std::string(target_id)});
+  peers_.Report(target_loss_report{fingerprint, std::string(target_id)});
 }
 
-void edge_daemon::OnObservation(const observation_message& report) {
+void edge_daemon::OnObservation(const observation_report& report) {
   state_.evidence().ObserveElsewhere(
       {report.target_id, report.started_at_unix_ms}, report.observation,
       time_.Now());
 }
 
-void edge_daemon::OnTargetLost(const target_lost_message& report) {
+void edge_daemon::OnTargetLost(const target_loss_report& report) {
   state_.crashes().RecordLoss(report.fingerprint, report.target_id,
                               time_.Now());
 }
@@ -193,7 +193,7 @@
   PublishView();
 }
 
-view_message edge_daemon::OwnView() const {
+host_view edge_daemon::OwnView() const {
   return {state_.rules() ? state_.rules()->rules().version : 0,
           state_.targets().Digest()};
 }
@@ -211,7 +211,7 @@
   });
 }
 
-void edge_daemon::OnView(const view_message& view) {
+void edge_daemon::OnView(const host_view& view) {
   leader_view_ = view;
   if (view == OwnView()) {
     differing_checks_ = 0;
@@ -245,7 +245,7 @@
               {"own_rules_version", OwnView().rules_version},
               {"leader_rules_version", leader_view_->rules_version}});
   if (view_source_) {
-    const view_message own = OwnView();
+    const host_view own = OwnView();
     view_source_->OnViewDiffers(
         {.is_in_rules = own.rules_version != leader_view_->rules_version,
          .is_in_targets = own.targets_digest != leader_view_->targets_digest,
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -17,7 +17,7 @@
 #include "libraries/event_loop/loop_clock.h"
 #include "libraries/gateway/gateway.h"
 #include "libraries/gateway/gateway_state.h"
-#include "libraries/peers/host_directory.h"
+#include "libraries/peers/host_registry.h"
 #include "libraries/peers/peer_agent.h"
 #include "libraries/telemetry/bounded_log.h"
 #include "libraries/telemetry/metrics.h"
@@ -28,7 +28,7 @@
 struct edge_options {
   host_entry self;
   gateway_options gateway;
-  host_directory_options hosts;
+  host_registry_options hosts;
   peer_agent_options peers;
   leave_options leaving;
 };
@@ -110,13 +110,13 @@
                          target_observation observation) override;
   void ReportLoss(std::uint64_t fingerprint,
                   std::string_view target_id) override;
-  void OnObservation(const observation_message& report) override;
-  void OnTargetLost(const target_lost_message& report) override;
-  void OnView(const view_message& view) override;
+  void OnObservation(const observation_report& report) override;
+  void OnTargetLost(const target_loss_report& report) override;
+  void OnView(const host_view& view) override;
   void OnHostsChanged() override;
 
   void LogTargetChange(const target_change& change);
-  view_message OwnView() const;
+  host_view OwnView() const;
   void PublishView();
   void ScheduleViewCheck();
   void CheckView();
@@ -133,14 +133,14 @@
   gateway_telemetry telemetry_;
   gateway_state state_;
   gateway gateway_;
-  host_directory hosts_;
+  host_registry hosts_;
   peer_agent peers_;
   boost::asio::steady_timer upkeep_timer_;
   boost::asio::steady_timer leave_timer_;
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer view_timer_;
   view_source* view_source_ = nullptr;
-  std::optional<view_message> leader_view_;
+  std::optional<host_view> leader_view_;
   int differing_checks_ = 0;
   bool is_leading_ = false;
   bool is_view_check_due_ = false;
--- a/tests/peers/host_directory_test.cc
+++ b/tests/peers/host_registry_test.cc
@@ -1,4 +1,4 @@
-#include "libraries/peers/host_directory.h"
+#include "libraries/peers/host_registry.h"
 
 #include <algorithm>
 #include <set>
@@ -23,9 +23,9 @@
       {"10.0.0.1", 7000}};
 }
 
-class HostDirectoryTest : public testing::Test {
+class HostRegistryTest : public testing::Test {
  protected:
-  HostDirectoryTest() {
+  HostRegistryTest() {
     for (const char* zone : {"a", "b", "c"}) {
       for (int number = 1; number <= kHostsPerZone; ++number) {
         directory_.Add(MakeHost(zone, number));
@@ -64,13 +64,13 @@
   }
 
   seeded_random random_{3};
-  host_directory directory_{MakeHost("a", 1), random_};
+  host_registry directory_{MakeHost("a", 1), random_};
   time_point now_ = kStart;
 };
 
 // Few hosts must see the requests of a zone, and always the same ones.
-TEST_F(HostDirectoryTest, AllHostsSendCallersToTheSameFewHosts) {
-  host_directory other(MakeHost("b", 7), random_);
+TEST_F(HostRegistryTest, AllHostsSendCallersToTheSameFewHosts) {
+  host_registry other(MakeHost("b", 7), random_);
   for (const char* zone : {"c", "b", "a"}) {
     for (int number = kHostsPerZone; number > 0; --number) {
       other.Add(MakeHost(zone, number));
@@ -81,7 +81,7 @@
   EXPECT_EQ(directory_.zone_count(), 3U);
 }
 
-TEST_F(HostDirectoryTest, AnotherHostTakesThePlaceOfALostOne) {
+TEST_F(HostRegistryTest, AnotherHostTakesThePlaceOfALostOne) {
   const std::set<std::string> before = ServingIds("a");
   std::string victim = *before.begin();
   if (victim == "a-1") {
@@ -95,7 +95,7 @@
   EXPECT_EQ(ServingIds("a"), before);
 }
 
-TEST_F(HostDirectoryTest, AReportDoesNotOutweighAFreshMessage) {
+TEST_F(HostRegistryTest, AReportDoesNotOutweighAFreshMessage) {
   directory_.OnHeard("a-2", kStart);
   directory_.OnReportedLost("a-2", kStart + milliseconds(100));
   EXPECT_FALSE(directory_.IsLost("a-2"));
@@ -106,14 +106,14 @@
 }
 
 // A host that is cut off must not tell the others that they are lost.
-TEST_F(HostDirectoryTest, AHostThatHearsNobodyReportsNobody) {
+TEST_F(HostRegistryTest, AHostThatHearsNobodyReportsNobody) {
   for (int step = 0; step < 100; ++step) {
     now_ += milliseconds(500);
     EXPECT_TRUE(directory_.Step(now_).lost_ids.empty());
   }
 }
 
-TEST_F(HostDirectoryTest, AViewOfAlmostNobodyIsNotUsed) {
+TEST_F(HostRegistryTest, AViewOfAlmostNobodyIsNotUsed) {
   for (const char* zone : {"a", "b", "c"}) {
     for (int number = 1; number <= kHostsPerZone; ++number) {
       directory_.OnReportedLost(zone + ("-" + std::to_string(number)), kStart);
@@ -122,21 +122,21 @@
   EXPECT_EQ(directory_.AddressesFor("b").size(), 3U);
 }
 
-TEST_F(HostDirectoryTest, CallersOfAZoneWithoutHostsUseOtherZones) {
+TEST_F(HostRegistryTest, CallersOfAZoneWithoutHostsUseOtherZones) {
   EXPECT_EQ(directory_.AddressesFor("elsewhere").size(), 9U);
 }
 
-TEST_F(HostDirectoryTest, ALeavingHostIsForgottenAtOnce) {
+TEST_F(HostRegistryTest, ALeavingHostIsForgottenAtOnce) {
   const std::string leaving = *ServingIds("b").begin();
   directory_.Remove(leaving);
   EXPECT_FALSE(ServingIds("b").contains(leaving));
   EXPECT_EQ(ServingIds("b").size(), 3U);
 }
 
-TEST_F(HostDirectoryTest, EachZoneHasOneLeader) {
+TEST_F(HostRegistryTest, EachZoneHasOneLeader) {
   int leaders = 0;
   for (int number = 1; number <= kHostsPerZone; ++number) {
-    host_directory other(MakeHost("c", number), random_);
+    host_registry other(MakeHost("c", number), random_);
     for (int added = 1; added <= kHostsPerZone; ++added) {
       other.Add(MakeHost("c", added));
     }
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -31,24 +31,24 @@
               *this,
               {.step_interval = milliseconds(40)}) {}
 
-  void OnObservation(const observation_message& report) override {
+  void OnObservation(const observation_report& report) override {
     observations.push_back(report);
   }
-  void OnTargetLost(const target_lost_message& report) override {
+  void OnTargetLost(const target_loss_report& report) override {
     losses.push_back(report);
   }
-  void OnView(const view_message& view) override { views.push_back(view); }
+  void OnView(const host_view& view) override { views.push_back(view); }
   void OnHostsChanged() override {}
 
  private:
   seeded_random random_;
 
  public:
-  host_directory hosts;
+  host_registry hosts;
   peer_agent agent;
-  std::vector<observation_message> observations;
-  std::vector<target_lost_message> losses;
-  std::vector<view_message> views;
+  std::vector<observation_report> observations;
+  std::vector<target_loss_report> losses;
+  std::vector<host_view> views;
 };
 
 std::uint16_t FreeUdpPort(boost::asio::io_context& loop) {
@@ -95,8 +95,8 @@
 
 TEST_F(PeerAgentTest, ReportsReachTheOtherHosts) {
   hosts_[0]->agent.Report(
-      observation_message{"t", 5, target_observation::kFailure});
-  hosts_[0]->agent.Report(target_lost_message{9, "t"});
+      observation_report{"t", 5, target_observation::kFailure});
+  hosts_[0]->agent.Report(target_loss_report{9, "t"});
   hosts_[0]->agent.PublishView({3, 4});
   loop_.run_for(milliseconds(50));
   for (std::size_t index : {1, 2}) {
@@ -110,7 +110,7 @@
 TEST_F(PeerAgentTest, ReportsAreBounded) {
   for (int report = 0; report < 1000; ++report) {
     hosts_[0]->agent.Report(
-        observation_message{"t", 5, target_observation::kFailure});
+        observation_report{"t", 5, target_observation::kFailure});
   }
   loop_.run_for(milliseconds(50));
   EXPECT_LE(hosts_[1]->observations.size(), 25U);
--- /dev/null
+++ b/tests/peers/peer_datagram_test.cc
@@ -0,0 +1,48 @@
+#include "libraries/peers/peer_datagram.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace bulrushshore {
+namespace {
+
+std::vector<peer_datagram> AllMessages() {
+  return {{"h", ping_body{7, true}},
+          {"h", pong_body{7}},
+          {"h", hello_body{{"h", "z", {"10.0.0.1", 80}, {"10.0.0.1", 7}}}},
+          {"h", leaving_body{}},
+          {"h", host_lost_body{"x"}},
+          {"h", observation_report{"t", -1, target_observation::kBadAnswer}},
+          {"h", target_loss_report{~std::uint64_t{0}, "t"}},
+          {"h", host_view{3, ~std::uint64_t{0}}}};
+}
+
+TEST(PeerDatagramTest, DecodesWhatItEncodes) {
+  for (const peer_datagram& message : AllMessages()) {
+    const result<peer_datagram> decoded =
+        DecodePeerDatagram(EncodePeerDatagram(message));
+    ASSERT_TRUE(IsOk(decoded)) << message.body.index();
+    EXPECT_EQ(ValueOf(decoded), message);
+  }
+}
+
+TEST(PeerDatagramTest, RefusesTruncatedAndExtendedMessages) {
+  for (const peer_datagram& message : AllMessages()) {
+    const std::string bytes = EncodePeerDatagram(message);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      EXPECT_FALSE(IsOk(DecodePeerDatagram(bytes.substr(0, size))));
+    }
+    EXPECT_FALSE(IsOk(DecodePeerDatagram(bytes + "x")));
+  }
+}
+
+TEST(PeerDatagramTest, RefusesUnknownTypesAndObservations) {
+  // ["h", 99] and ["h", 5, "t", 0, 99]
+  EXPECT_FALSE(IsOk(DecodePeerDatagram("\x82\x61h\x18\x63")));
+  EXPECT_FALSE(IsOk(
+      DecodePeerDatagram(std::string("\x85\x61h\x05\x61t\x00\x18\x63", 9))));
+}
+
+}  // namespace
+}  // namespace bulrushshore
