Remove an unused field that clang reports

Cause: the fuzz build with clang ends at the unused field loop_ of edge_daemon.

Change: the field is gone.

--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -24,8 +24,7 @@
 
 edge_daemon::edge_daemon(boost::asio::io_context& loop,
                          const edge_options& options)
-    : loop_(loop),
-      options_(options),
+    : options_(options),
       random_(seeded_random::FromSystemEntropy()),
       log_(time_),
       telemetry_(log_, metrics_),
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -124,7 +124,6 @@
   void DoUpkeep();
   void ContinueLeaving();
 
-  boost::asio::io_context& loop_;
   edge_options options_;
   loop_clock time_;
   seeded_random random_;
