Hear hosts that leave, and make unknown hosts announce themselves

Change: a leaving host gets no callers and stays known; a datagram of an unknown host is answered by a ping that makes it announce itself.

--- a/libraries/peers/host_registry.cc
+++ b/libraries/peers/host_registry.cc
@@ -34,6 +34,7 @@
 
 void host_registry::Add(const host_entry& host) {
   record& known = hosts_[host.id];
+  known.is_leaving = false;
   if (known.entry == host) {
     return;
   }
@@ -42,10 +43,12 @@
   known.rank = RankOf(host.id);
 }
 
-void host_registry::Remove(std::string_view id) {
+void host_registry::OnLeaving(std::string_view id) {
   const auto found = hosts_.find(id);
   if (found != hosts_.end() && id != self_.id) {
-    hosts_.erase(found);
+    found->second.is_leaving = true;
+    found->second.pinged.reset();
+    found->second.pings_sent = 0;
   }
 }
 
@@ -144,7 +147,7 @@
     }
   }
   std::erase_if(watched, [this](const record* host) {
-    return host->entry.id == self_.id;
+    return host->entry.id == self_.id || host->is_leaving;
   });
   if (watched.empty()) {
     return std::nullopt;
@@ -164,6 +167,9 @@
       continue;
     }
     ++zone_hosts;
+    if (known.second.is_leaving) {
+      continue;
+    }
     if (!known.second.is_lost || !trusts_view) {
       serving.push_back(&known.second);
     }
@@ -212,13 +218,18 @@
 std::vector<const host_entry*> host_registry::OtherHosts() const {
   std::vector<const host_entry*> others;
   for (const record_map::value_type& known : hosts_) {
-    if (known.first != self_.id) {
+    if (known.first != self_.id && !known.second.is_leaving) {
       others.push_back(&known.second.entry);
     }
   }
   return others;
 }
 
+const host_entry* host_registry::Find(std::string_view id) const {
+  const auto found = hosts_.find(id);
+  return found == hosts_.end() ? nullptr : &found->second.entry;
+}
+
 bool host_registry::IsServing() const {
   const std::vector<const record*> serving = ServingOf(self_.zone);
   return std::any_of(
--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -69,8 +69,9 @@
   // Adds a host or renews its entry.
   void Add(const host_entry& host);
 
-  // The host has left the fleet.
-  void Remove(std::string_view id);
+  // The host takes no further callers. Its messages still count, and Add()
+  // makes it a host like the others again.
+  void OnLeaving(std::string_view id);
 
   // A message of the host arrived.
   void OnHeard(std::string_view id, time_point now);
@@ -88,7 +89,10 @@
   // Returns the hosts that callers are sent to.
   std::vector<const host_entry*> ServingHosts() const;
 
-  // Returns all hosts but this one.
+  // Returns the host, or null.
+  const host_entry* Find(std::string_view id) const;
+
+  // Returns all hosts but this one and those that are leaving.
   std::vector<const host_entry*> OtherHosts() const;
 
   bool IsServing() const;
@@ -99,7 +103,6 @@
   // Returns the other hosts of this host's zone.
   std::vector<const host_entry*> ZoneNeighbours() const;
 
-  bool IsKnown(std::string_view id) const { return hosts_.contains(id); }
   bool IsLost(std::string_view id) const;
   std::size_t host_count() const { return hosts_.size(); }
   std::size_t lost_count() const;
@@ -111,6 +114,7 @@
     host_entry entry;
     std::uint64_t rank = 0;
     bool is_lost = false;
+    bool is_leaving = false;
     std::optional<time_point> heard;
     // An unanswered ping, and how often it was sent.
     std::optional<time_point> pinged;
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -144,11 +144,15 @@
 void peer_agent::OnReceived(std::size_t size) {
   const result<peer_datagram> message =
       DecodePeerDatagram({buffer_.data(), size});
-  if (!IsOk(message) || !IsFromHost(ValueOf(message))) {
-    log_.Write(
-        log_level::kWarning, "peer_message_refused",
-        {{"sender", sender_.address().to_string()},
-         {"error", IsOk(message) ? "unknown host" : ErrorOf(message).message}});
+  const std::string sender = sender_.address().to_string();
+  if (!IsOk(message)) {
+    log_.Write(log_level::kWarning, "peer_message_refused",
+               {{"sender", sender}, {"error", ErrorOf(message).message}});
+    return;
+  }
+  if (!IsFromHost(ValueOf(message))) {
+    // A host whose announcement was lost announces itself again.
+    Send({sender, sender_.port()}, ping_body{random_.Next(), true});
     return;
   }
   Handle(ValueOf(message));
@@ -159,11 +163,8 @@
   if (const hello_body* hello = std::get_if<hello_body>(&message.body)) {
     return hello->host.peer_address.ip == ip;
   }
-  const std::vector<const host_entry*> others = hosts_.OtherHosts();
-  return std::any_of(
-      others.begin(), others.end(), [&message, &ip](const host_entry* host) {
-        return host->id == message.sender_id && host->peer_address.ip == ip;
-      });
+  const host_entry* host = hosts_.Find(message.sender_id);
+  return host && host->peer_address.ip == ip;
 }
 
 // Calls the handler of a message's type.
@@ -197,7 +198,7 @@
 void peer_agent::HandleBody(const std::string&, const pong_body&) {}
 
 void peer_agent::HandleBody(const std::string& sender, const hello_body& body) {
-  const bool is_new = !hosts_.IsKnown(sender);
+  const bool is_new = !hosts_.Find(sender);
   hosts_.Add(body.host);
   hosts_.OnHeard(sender, time_.Now());
   if (is_new) {
@@ -208,7 +209,7 @@
 }
 
 void peer_agent::HandleBody(const std::string& sender, const leaving_body&) {
-  hosts_.Remove(sender);
+  hosts_.OnLeaving(sender);
   log_.Write(log_level::kInfo, "host_leaving", {{"host", sender}});
   events_.OnHostsChanged();
 }
