--- a/libraries/event_loop/socket_options.cc
+++ b/libraries/event_loop/socket_options.cc
@@ -50,7 +50,7 @@
       {IPPROTO_TCP, TCP_KEEPCNT, limits.probes},
   };
   for (const option& entry : options) {
-    const status applied =
+    status applied =
         SetOption(socket.native_handle(), entry.level, entry.name, entry.value);
     if (!IsOk(applied)) {
       return applied;
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -16,7 +16,7 @@
 
 // Hosts read a change at slightly different times; a difference that lasts
 // longer than this is looked into.
-constexpr duration kViewPatience = std::chrono::milliseconds(450);
+constexpr duration kViewPatience = std::chrono::milliseconds(1000);
 
 constexpr duration kLeaveStep = std::chrono::milliseconds(50);
 
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -117,8 +117,8 @@
 }
 
 // A datagram of an unknown sender must not change what this host believes. Seen
-// on inc-9e6d of etg-gateway: 1,410 datagrams of unknown hosts were refused, and
-// nothing made these hosts known.
+// on inc-9e6d of etg-gateway: 1,410 datagrams of unknown hosts were refused,
+// and nothing made these hosts known.
 TEST_F(PeerAgentTest, AnUnknownSenderIsNotHeardUntilItAnnouncesItself) {
   const host_entry self{
       "host-4", "a", {"127.0.0.1", 4}, {"127.0.0.1", FreeUdpPort(loop_)}};
--- a/tests/platform/store_watcher_test.cc
+++ b/tests/platform/store_watcher_test.cc
@@ -66,8 +66,7 @@
   platform_store_stand_in store_{loop_};
   store_client client_{loop_, store_.address()};
   recording_listener listener_;
-  store_watcher watcher_{loop_,     client_, "things", milliseconds(0),
-                         listener_, random_, log_};
+  store_watcher watcher_{loop_, client_, "things", listener_, random_, log_};
 };
 
 TEST_F(StoreWatcherTest, ReadsAllPagesAndFollowsChanges) {
@@ -110,7 +109,8 @@
 // Seen on hunt-4067-3 of etg-gateway: a watch that was cut off without a word
 // kept the host's list of targets as it was for 20 s.
 TEST_F(StoreWatcherTest, AShortWatchNoticesThatItWasCutOff) {
-  watcher_.SetWatch(milliseconds(200), read_consistency::kCurrent);
+  watcher_.SetWatch(milliseconds(200), read_consistency::kCurrent,
+                    milliseconds(0));
   Start();
   store_.SilenceWatches();
   store_.Put("things", "a", 1);
