--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -192,8 +192,7 @@
       ParseDecimal(received.headers.Find("X-Deadline").value_or(""));
   ASSERT_TRUE(deadline);
   EXPECT_LE(*deadline, 1000U);
-  // A target must not get half a second more or less than is left.
-  EXPECT_GT(*deadline, 500U);
+  EXPECT_GT(*deadline, 900U);
 }
 
 // A host that has no rules yet knows nothing of routes, so 404 would be wrong.
@@ -373,8 +372,7 @@
   const time_point sent = time_.Now();
   SendRequest("/pay/x", "1", "POST");
   EXPECT_EQ(Receive()[0].status, 504);
-  // The platform wants an answer within half a second of the timeout.
-  EXPECT_LT(time_.Now() - sent, milliseconds(200 + 500));
+  EXPECT_LT(time_.Now() - sent, milliseconds(500));
 }
 
 // A target that is silent must not keep idempotent work from a sound one.
