Wait for the actors of a dispatcher before it is gone

Cause: the destructor of service_dispatcher asked its actors to exit and returned. They still published to the metric registry and the audit log, which their owner may destroy next. Ruled out: the other owners. The actors of key_owner hold no reference to others' objects; membership, configuration, probes, the archiver and the machine poller already wait.

Change: the destructor waits for all actors that it has told to stop, also for those of withdrawn services.

--- a/libraries/dispatch/service_dispatcher.cc
+++ b/libraries/dispatch/service_dispatcher.cc
@@ -32,7 +32,11 @@
 service_dispatcher::~service_dispatcher() {
   const std::shared_ptr<const entry_map> entries = Entries();
   for (const entry_map::value_type& entry : *entries) {
-    caf::anon_send_exit(entry.second.actor, caf::exit_reason::user_shutdown);
+    StopActor(entry.second.actor);
+  }
+  if (options_.waits_for_actors) {
+    const caf::scoped_actor waiter(system_);
+    waiter->wait_for(stopping_);
   }
 }
 
@@ -83,7 +87,7 @@
       withdrawn_at = now;
     }
     if (withdrawn_at && now - *withdrawn_at >= kWithdrawnActorTime) {
-      caf::anon_send_exit(entry->second.actor, caf::exit_reason::user_shutdown);
+      StopActor(entry->second.actor);
       entry = next.erase(entry);
       continue;
     }
@@ -93,6 +97,14 @@
   entries_.store(std::make_shared<const entry_map>(std::move(next)));
 }
 
+void service_dispatcher::StopActor(const caf::actor& actor) {
+  std::erase_if(stopping_, [](const caf::actor_addr& address) {
+    return caf::actor_cast<caf::strong_actor_ptr>(address) == nullptr;
+  });
+  stopping_.push_back(actor.address());
+  caf::anon_send_exit(actor, caf::exit_reason::user_shutdown);
+}
+
 void service_dispatcher::SetDrainingMachines(std::set<std::string> ips) {
   draining_ips_ = std::make_shared<const std::set<std::string>>(std::move(ips));
   const std::shared_ptr<const entry_map> entries = Entries();
--- a/libraries/dispatch/service_dispatcher.h
+++ b/libraries/dispatch/service_dispatcher.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <caf/actor.hpp>
+#include <caf/actor_addr.hpp>
 #include <caf/actor_system.hpp>
 
 #include "libraries/catalog/types.h"
@@ -36,6 +37,9 @@
   service_policy policy;
   // Seeds the choice of targets; drawn from the operating system if absent.
   std::optional<std::uint64_t> seed;
+  // The destructor waits for the actors to end. Off where one thread runs the
+  // actors and destroys the dispatcher, as with CAF's testing scheduler.
+  bool waits_for_actors = true;
 };
 
 // Gives each service of the configuration an actor that owns all decisions
@@ -45,15 +49,16 @@
 // The host daemon therefore sets "scheduler.policy" to "sharing".
 class service_dispatcher : public dispatcher {
  public:
-  // Precondition: the arguments outlive this object and its actor system's
-  // actors.
+  // Precondition: the arguments outlive this object, and its actors too if
+  // `options.waits_for_actors` is off.
   service_dispatcher(caf::actor_system& system,
                      service_dispatcher_options options,
                      audit_log& audit,
                      metric_registry& metrics);
 
-  // Refuses waiting requests and stops the actors. Precondition: no other
-  // thread uses this object any more.
+  // Refuses waiting requests, stops the actors and waits for their end, because
+  // they use `audit` and `metrics`. Precondition: no other thread uses this
+  // object any more, and the caller is not an actor of `system`.
   ~service_dispatcher() override;
 
   service_dispatcher(const service_dispatcher&) = delete;
@@ -123,6 +128,7 @@
                                          std::optional<service_entry>& found);
   std::shared_ptr<const entry_map> Entries() const;
   service_entry StartActor(const std::string& service);
+  void StopActor(const caf::actor& actor);
 
   caf::actor_system& system_;
   service_dispatcher_options options_;
@@ -132,6 +138,8 @@
   std::atomic<std::shared_ptr<const entry_map>> entries_;
   std::shared_ptr<const std::set<std::string>> draining_ips_;
   std::uint64_t actors_started_ = 0;
+  // Actors that were told to stop and may not have ended yet.
+  std::vector<caf::actor_addr> stopping_;
   std::atomic<bool> is_shutting_down_{false};
 };
 
--- a/tests/dispatch/concurrent_status_test.cc
+++ b/tests/dispatch/concurrent_status_test.cc
@@ -2,6 +2,7 @@
 #include <thread>
 
 #include <gtest/gtest.h>
+#include <caf/actor_registry.hpp>
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 
@@ -46,5 +47,28 @@
   reader.join();
 }
 
+// Guards against actors that still publish to the registry after the destructor
+// of the dispatcher, when the registry may be gone; hosts crashed at their end.
+TEST(ServiceDispatcherEndTest, NoActorPublishesAfterTheDispatcherIsGone) {
+  constexpr std::size_t kServices = 100;
+  constexpr std::uint64_t kChanges = 200;
+  constexpr std::size_t kWorkers = 2;
+  caf::actor_system_config config;
+  config.set("scheduler.max-threads", kWorkers);
+  caf::actor_system system(config);
+  audit_log audit(10);
+  metric_registry metrics;
+  const std::size_t running_before = system.registry().running();
+  {
+    service_dispatcher dispatch(system, {"host-1", "a", {}, 1}, audit, metrics);
+    for (std::uint64_t version = 1; version < kChanges; ++version) {
+      dispatch.Apply(MakeServices(version, kServices));
+    }
+  }
+  // A worker takes its actor out of the registry just after it has told those
+  // that wait for the actor's end.
+  EXPECT_LE(system.registry().running(), running_before + kWorkers);
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/dispatch/service_dispatcher_test.cc
+++ b/tests/dispatch/service_dispatcher_test.cc
@@ -21,7 +21,7 @@
  protected:
   void SetUp() override {
     dispatch = std::make_unique<service_dispatcher>(
-        system, service_dispatcher_options{"host-1", "a", {}, 1}, audit,
+        system, service_dispatcher_options{"host-1", "a", {}, 1, false}, audit,
         metrics);
     dispatch->Apply(Share(MakeCatalog(1, 1)));
     Settle();
