Report why calls of a load run were not answered

Change: the report counts failed calls by outcome and reason, and in_force prints them for its payments. Adding up totals is one function.

Conclusion: the cause of the refused payment is not known yet.

--- a/benchmarks/in_force/scenarios.cc
+++ b/benchmarks/in_force/scenarios.cc
@@ -302,6 +302,9 @@
     PrintFigure(std::string("payments.") + outcome,
                 report["kinds"].back().value(outcome, 0.0), "payments");
   }
+  std::cerr << "in_force: failed payments "
+            << report["kinds"].back().value("failures", nlohmann::json())
+            << "\n";
 }
 
 }  // namespace bulrushshore
--- a/tests/caller_tool/load_run_test.cc
+++ b/tests/caller_tool/load_run_test.cc
@@ -88,5 +88,17 @@
   EXPECT_NE(FormatLoadTable(report).find("not_run"), std::string::npos);
 }
 
+// Guards against a run of several kinds whose report does not tell why calls
+// were not answered.
+TEST(LoadReportTest, CountsTheReasonsOfAllKinds) {
+  load_totals totals;
+  totals["s/first"].failures["refused:no-route"] = 1;
+  totals["s/second"].failures["refused:no-route"] = 2;
+  totals["s/second"].failures["unknown:timed-out"] = 4;
+  const nlohmann::json all = DescribeLoad(totals)["kinds"].back();
+  EXPECT_EQ(all["failures"], nlohmann::json({{"refused:no-route", 3},
+                                             {"unknown:timed-out", 4}}));
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/utilities/caller_tool/load_report.cc
+++ b/utilities/caller_tool/load_report.cc
@@ -33,6 +33,7 @@
     requests += count;
   }
   line["requests"] = requests;
+  line["failures"] = totals.failures;
   line["server_errors"] = totals.server_errors;
   line["attempts"] = totals.attempts;
   for (const std::pair<const char*, double>& entry : kPercentiles) {
@@ -45,13 +46,7 @@
 kind_totals SumOf(const load_totals& totals) {
   kind_totals sum;
   for (const load_totals::value_type& entry : totals) {
-    for (const std::map<std::string, std::uint64_t>::value_type& outcome :
-         entry.second.outcomes) {
-      sum.outcomes[outcome.first] += outcome.second;
-    }
-    sum.server_errors += entry.second.server_errors;
-    sum.attempts += entry.second.attempts;
-    sum.latencies.Merge(entry.second.latencies);
+    AddTotals(entry.second, sum);
   }
   return sum;
 }
--- a/utilities/caller_tool/load_report.h
+++ b/utilities/caller_tool/load_report.h
@@ -11,8 +11,10 @@
 namespace bulrushshore {
 
 // Returns {"kinds": [{"service_kind", "requests", "answered", "not_run",
-// "unknown", "refused", "server_errors", "attempts", "p50_ms", "p90_ms",
-// "p99_ms", "p999_ms", "max_ms"}]} with a last entry "all". Thread safe.
+// "unknown", "refused", "failures", "server_errors", "attempts", "p50_ms",
+// "p90_ms", "p99_ms", "p999_ms", "max_ms"}]} with a last entry "all";
+// "failures" counts the calls without an answer by "OUTCOME:REASON". Thread
+// safe.
 nlohmann::json DescribeLoad(const load_totals& totals);
 
 // Formats what DescribeLoad() returned with one line per kind. Thread safe.
--- a/utilities/caller_tool/load_run.cc
+++ b/utilities/caller_tool/load_run.cc
@@ -15,6 +15,8 @@
   ++totals.outcomes[std::string(CallOutcomeName(result.outcome))];
   totals.attempts += result.attempts;
   if (result.outcome != call_outcome::kAnswered) {
+    ++totals.failures[std::string(CallOutcomeName(result.outcome)) + ":" +
+                      result.reason];
     return;
   }
   totals.latencies.Add(latency);
@@ -25,19 +27,27 @@
 
 void Merge(const load_totals& part, load_totals& all) {
   for (const load_totals::value_type& entry : part) {
-    kind_totals& sum = all[entry.first];
-    for (const std::map<std::string, std::uint64_t>::value_type& outcome :
-         entry.second.outcomes) {
-      sum.outcomes[outcome.first] += outcome.second;
-    }
-    sum.server_errors += entry.second.server_errors;
-    sum.attempts += entry.second.attempts;
-    sum.latencies.Merge(entry.second.latencies);
+    AddTotals(entry.second, all[entry.first]);
+  }
+}
+
+void AddCounts(const std::map<std::string, std::uint64_t>& part,
+               std::map<std::string, std::uint64_t>& sum) {
+  for (const std::map<std::string, std::uint64_t>::value_type& entry : part) {
+    sum[entry.first] += entry.second;
   }
 }
 
 }  // namespace
 
+void AddTotals(const kind_totals& part, kind_totals& sum) {
+  AddCounts(part.outcomes, sum.outcomes);
+  AddCounts(part.failures, sum.failures);
+  sum.server_errors += part.server_errors;
+  sum.attempts += part.attempts;
+  sum.latencies.Merge(part.latencies);
+}
+
 load_totals RunLoad(const load_run_options& options,
                     const std::vector<planned_request>& requests,
                     caller& client,
--- a/utilities/caller_tool/load_run.h
+++ b/utilities/caller_tool/load_run.h
@@ -19,6 +19,8 @@
 // What happened to the requests of one service and kind.
 struct kind_totals {
   std::map<std::string, std::uint64_t> outcomes;
+  // Calls that were not answered, by "OUTCOME:REASON".
+  std::map<std::string, std::uint64_t> failures;
   // Responses with status 5xx among the answered ones.
   std::uint64_t server_errors = 0;
   std::uint64_t attempts = 0;
@@ -29,6 +31,9 @@
 // Ordered by "SERVICE/KIND".
 using load_totals = std::map<std::string, kind_totals>;
 
+// Adds `part` to `sum`. Thread safe.
+void AddTotals(const kind_totals& part, kind_totals& sum);
+
 struct load_run_options {
   // Calls under way at the same time; later arrivals wait, and their waiting
   // counts as latency.
