Deny no route or service before the first configuration

Members list a host as soon as it answers, callers are sent there, and until a peer gives it the configuration it answered 404 no-route, and 404 for each service in discovery: both tell callers not to ask again.

Change: such a host answers 503 no-configuration, with a key 502 no-configuration-for-key because another host may have run the work, and discovery answers 503.

Measured: both new tests fail without the change (404) and pass with it.

--- a/libraries/membership/discovery_response.cc
+++ b/libraries/membership/discovery_response.cc
@@ -70,6 +70,9 @@
                                       const std::vector<host_record>& hosts,
                                       const catalog_snapshot& catalog,
                                       const discovery_options& options) {
+  if (catalog.version == 0) {
+    return error{error_code::kUnavailable, "no configuration yet"};
+  }
   if (catalog.contents.services.count(query.service) == 0) {
     return error{error_code::kNotFound, "unknown service " + query.service};
   }
--- a/libraries/membership/discovery_response.h
+++ b/libraries/membership/discovery_response.h
@@ -43,7 +43,8 @@
 // Returns the JSON text that answers `query`: the hosts that serve the service,
 // those of the caller's zone first. Hosts that are leaving, suspected or lost,
 // and hosts that suspect themselves while others do not, are left out.
-// kNotFound for a service that `catalog` does not have. Thread safe.
+// kNotFound for a service that `catalog` does not have, kUnavailable before the
+// first configuration. Thread safe.
 result<std::string> DiscoveryResponse(const discovery_query& query,
                                       const std::vector<host_record>& hosts,
                                       const catalog_snapshot& catalog,
--- a/libraries/proxy/outcome.cc
+++ b/libraries/proxy/outcome.cc
@@ -61,6 +61,8 @@
     Refused(kKeyNotIssued, kBadRequest, "key-not-issued"),
     Refused(kKeyReused, kUnprocessableContent, "key-reused"),
     Unknown(kThreadsExhausted, kBadGateway, "threads-exhausted"),
+    NotRun(kNoConfiguration, "no-configuration"),
+    Unknown(kNoConfigurationForKey, kBadGateway, "no-configuration-for-key"),
     NotRun(kUnknownService, "unknown-service"),
     NotRun(kNoTarget, "no-target"),
     NotRun(kQueueFull, "queue-full"),
--- a/libraries/proxy/outcome.h
+++ b/libraries/proxy/outcome.h
@@ -43,6 +43,8 @@
   kKeyReused,
   // No target has been chosen.
   kThreadsExhausted,
+  kNoConfiguration,
+  kNoConfigurationForKey,
   kUnknownService,
   kNoTarget,
   kQueueFull,
--- a/libraries/proxy/request_pipeline.cc
+++ b/libraries/proxy/request_pipeline.cc
@@ -145,6 +145,12 @@
       HostNameOf(context.received.headers.Find("Host").value_or(""));
   context.matched =
       context.configuration->routes.Find(context.record.path, host_name);
+  if (context.matched == nullptr &&
+      context.configuration->snapshot->version == 0) {
+    return context.received.headers.Find("Idempotency-Key")
+               ? failure_point::kNoConfigurationForKey
+               : failure_point::kNoConfiguration;
+  }
   if (context.matched == nullptr) {
     return failure_point::kNoRoute;
   }
--- a/tests/membership/discovery_response_test.cc
+++ b/tests/membership/discovery_response_test.cc
@@ -102,5 +102,13 @@
       error_code::kNotFound);
 }
 
+// Guards against a host that has just started and denies all services.
+TEST_F(DiscoveryResponseTest, AHostWithoutAConfigurationDeniesNoService) {
+  const catalog_snapshot none;
+  EXPECT_EQ(
+      ErrorOf(DiscoveryResponse({"archive", "a", ""}, hosts_, none, {})).code,
+      error_code::kUnavailable);
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/proxy/fakes.h
+++ b/tests/proxy/fakes.h
@@ -20,9 +20,9 @@
 
 class fixed_snapshot : public snapshot_source {
  public:
-  explicit fixed_snapshot(catalog_contents contents)
+  explicit fixed_snapshot(catalog_contents contents, std::uint64_t version = 1)
       : snapshot_(std::make_shared<const catalog_snapshot>(
-            catalog_snapshot{1, "first", std::move(contents)})) {}
+            catalog_snapshot{version, "first", std::move(contents)})) {}
 
   std::shared_ptr<const catalog_snapshot> Current() const override {
     return snapshot_;
--- a/tests/proxy/proxy_fixture.cc
+++ b/tests/proxy/proxy_fixture.cc
@@ -15,8 +15,10 @@
 }  // namespace
 
 proxy_fixture::proxy_fixture(const std::vector<std::uint16_t>& ports,
-                             proxy_options changed)
-    : targets(MakeTargets(ports)),
+                             proxy_options changed,
+                             std::optional<fixed_snapshot> snapshot)
+    : snapshot(snapshot.value_or(fixed_snapshot(MakeCatalog()))),
+      targets(MakeTargets(ports)),
       directory(SelfRecord()),
       keys(system, idempotency_limits{}, std::string(kTestIncarnation)) {
   changed.host_id = "host-1";
@@ -31,8 +33,8 @@
   proxy = std::make_unique<proxy_service>(
       changed,
       proxy_collaborators{
-          snapshot, targets, directory, keys, claims, time, metrics, discovery,
-          [this](const work&, const std::vector<std::string>& lost) {
+          this->snapshot, targets, directory, keys, claims, time, metrics,
+          discovery, [this](const work&, const std::vector<std::string>& lost) {
             crash_reports.push_back(lost);
           }});
   proxy->Start();
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -2,6 +2,7 @@
 #define TESTS_PROXY_PROXY_FIXTURE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,8 @@
 // "/issue" (keyed) and "/once" (without key) and the targets on `ports`.
 struct proxy_fixture {
   explicit proxy_fixture(const std::vector<std::uint16_t>& ports,
-                         proxy_options changed = {});
+                         proxy_options changed = {},
+                         std::optional<fixed_snapshot> snapshot = {});
 
   // Sends a request on a new connection and returns the raw response.
   std::string Ask(std::string_view request) const;
@@ -41,7 +43,7 @@
   caf::actor_system system{config};
   runtime_clock time{system.clock()};
   metric_registry metrics;
-  fixed_snapshot snapshot{MakeCatalog()};
+  fixed_snapshot snapshot;
   fake_dispatcher targets;
   fake_directory directory;
   scripted_store store;
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -47,5 +47,19 @@
   EXPECT_EQ(target.Requests().size(), 1U);
 }
 
+// Guards against a host that has just started and says that a route does not
+// exist, which callers do not ask again.
+TEST(RequestPathTest, DoesNotDenyARouteBeforeItHasAConfiguration) {
+  const proxy_fixture fixture({}, {}, fixed_snapshot({}, 0));
+  const std::string response = fixture.Get("/lookup/7");
+  EXPECT_EQ(StatusOf(response), 503);
+  EXPECT_EQ(HeaderOf(response, "X-Outcome"), "not-run");
+  const std::string keyed = fixture.Post(
+      "/issue", "bag 1",
+      "Idempotency-Key: " + std::string(kTestKeyPrefix) + "one\r\n");
+  EXPECT_EQ(StatusOf(keyed), 502);
+  EXPECT_EQ(HeaderOf(keyed, "X-Outcome"), "unknown");
+}
+
 }  // namespace
 }  // namespace bulrushshore
