Earn retries with time as well as with requests

Change: half of a host's part of the allowance may be saved, the other half comes evenly over the window (retry-window-s), so that no window sees more than the allowance.

--- a/libraries/admission/retry_budget.cc
+++ b/libraries/admission/retry_budget.cc
@@ -17,6 +17,14 @@
   Add(options_.tokens_per_first_attempt);
 }
 
+void retry_budget::Advance(time_point now) {
+  if (advanced_ && now > *advanced_) {
+    Add(options_.tokens_per_second *
+        std::chrono::duration<double>(now - *advanced_).count());
+  }
+  advanced_ = now;
+}
+
 bool retry_budget::TryTakeRetry() {
   if (tokens_ + kRoundingSlack < 1.0) {
     return false;
@@ -29,8 +37,9 @@
   Add(1.0);
 }
 
-void retry_budget::SetMaximumTokens(double maximum) {
+void retry_budget::SetAllowance(double maximum, double per_second) {
   options_.maximum_tokens = maximum;
+  options_.tokens_per_second = per_second;
   tokens_ = std::min(tokens_, maximum);
 }
 
--- a/tests/admission/retry_budget_test.cc
+++ b/tests/admission/retry_budget_test.cc
@@ -33,5 +33,41 @@
   EXPECT_EQ(retries, 10);
 }
 
+// Guards against a service with a usual error rate whose retries run out
+// although the fleet's allowance for each window is not used.
+TEST(RetryBudgetTest, TimeEarnsTokensUpToTheBound) {
+  constexpr time_point kStart{std::chrono::hours(1)};
+  retry_budget budget({.tokens_per_first_attempt = 0.0,
+                       .tokens_per_second = 0.5,
+                       .maximum_tokens = 4.0,
+                       .initial_tokens = 1.0});
+  budget.Advance(kStart);
+  EXPECT_DOUBLE_EQ(budget.tokens(), 1.0);
+  budget.Advance(kStart + std::chrono::seconds(2));
+  EXPECT_DOUBLE_EQ(budget.tokens(), 2.0);
+  budget.Advance(kStart + std::chrono::seconds(60));
+  EXPECT_DOUBLE_EQ(budget.tokens(), 4.0);
+}
+
+// Guards against more retries in a window than the allowance: what was saved
+// and what time earns in it together.
+TEST(RetryBudgetTest, AWindowNeverSeesMoreThanTheAllowance) {
+  constexpr time_point kStart{std::chrono::hours(1)};
+  constexpr double kAllowance = 8.0;
+  constexpr std::chrono::seconds kWindow(10);
+  retry_budget budget({.tokens_per_first_attempt = 0.0,
+                       .tokens_per_second = 0.4,
+                       .maximum_tokens = 4.0,
+                       .initial_tokens = 4.0});
+  int retries = 0;
+  for (std::chrono::milliseconds at{0}; at <= kWindow;
+       at += std::chrono::milliseconds(20)) {
+    budget.Advance(kStart + at);
+    retries += budget.TryTakeRetry() ? 1 : 0;
+  }
+  EXPECT_LE(retries, kAllowance);
+  EXPECT_GE(retries, kAllowance - 1.0);
+}
+
 }  // namespace
 }  // namespace bulrushshore
