--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -238,6 +238,11 @@
     differing_checks_ = 0;
     return;
   }
+  // What did not help against an older difference may help against this one.
+  if (checked_version_ != leader_view_->rules_version) {
+    checked_version_ = leader_view_->rules_version;
+    differing_checks_ = 0;
+  }
   ++differing_checks_;
   log_.Write(log_level::kInfo, "view_differs",
              {{"check", differing_checks_},
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -140,7 +140,10 @@
   boost::asio::steady_timer view_timer_;
   view_source* view_source_ = nullptr;
   std::optional<host_view> leader_view_;
+  // Checks in a row that found a difference from one version of the leader's
+  // rules.
   int differing_checks_ = 0;
+  std::uint64_t checked_version_ = 0;
   bool is_leading_ = false;
   bool is_view_check_due_ = false;
   time_point leave_began_;
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -89,6 +89,21 @@
   EXPECT_TRUE(sources_[leader_]->differences.empty());
 }
 
+// Seen with seed 3 of the fault soak: a host whose list of targets differed all
+// the while did not look into a newer version of the rules for eight seconds.
+TEST_F(ViewCheckTest, ANewVersionIsLookedIntoAtOnce) {
+  constexpr int kChecksWithoutEffect = 2;
+  const std::size_t follower = 1 - leader_;
+  std::vector<view_difference>& differences = sources_[follower]->differences;
+  daemons_[leader_]->ApplyRules(MakeRules(2));
+  RunUntil([&] { return differences.size() >= kChecksWithoutEffect; });
+  EXPECT_EQ(differences.back().checks, kChecksWithoutEffect);
+  daemons_[leader_]->ApplyRules(MakeRules(3));
+  const std::size_t before = differences.size();
+  RunUntil([&] { return differences.size() > before; });
+  EXPECT_EQ(differences.back().checks, 1);
+}
+
 TEST_F(ViewCheckTest, AHostThatReadsTheChangeInTimeMakesNoCall) {
   const std::size_t follower = 1 - leader_;
   target_entry entry;
