Draw the callers' port of the view tests among free TCP ports

Cause: AHostThatReadsTheChangeInTimeMakesNoCall and another test of the file failed once, just after a run of the fault soak had left thousands of ended connections: the fixture drew a port that was free for datagrams and listened on it for connections, and its own check of Start() failed first. Ruled out: load, in 96 runs of the test, sixteen side by side, none failed.

Change: the fixture draws the port among those free for connections.

--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include "services/edge_daemon/edge_daemon.h"
@@ -24,10 +25,18 @@
   std::vector<view_difference> differences;
 };
 
-std::uint16_t FreePort(boost::asio::io_context& loop) {
-  boost::asio::ip::udp::socket probe(
+// Each protocol has ports of its own: one that is free for datagrams may be
+// held by a connection that has just ended.
+endpoint FreeCallerAddress(boost::asio::io_context& loop) {
+  const boost::asio::ip::tcp::acceptor probe(
       loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return probe.local_endpoint().port();
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+endpoint FreePeerAddress(boost::asio::io_context& loop) {
+  const boost::asio::ip::udp::socket probe(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", probe.local_endpoint().port()};
 }
 
 // Two hosts of a zone, of which one leads.
@@ -36,10 +45,8 @@
   ViewCheckTest() {
     std::vector<host_entry> entries;
     for (const char* id : {"host-1", "host-2"}) {
-      entries.push_back({id,
-                         "a",
-                         {"127.0.0.1", FreePort(loop_)},
-                         {"127.0.0.1", FreePort(loop_)}});
+      entries.push_back(
+          {id, "a", FreeCallerAddress(loop_), FreePeerAddress(loop_)});
     }
     for (std::size_t index = 0; index < entries.size(); ++index) {
       edge_options options;
