--- a/tests/platform/soak/soak_host.cc
+++ b/tests/platform/soak/soak_host.cc
@@ -11,6 +11,9 @@
 constexpr std::uint16_t kReadinessPort = 8640;
 constexpr std::uint16_t kDiscoveryPort = 8644;
 
+// Time to load a program built with sanitizers on a busy machine.
+constexpr std::chrono::milliseconds kLoadTime{500};
+
 }  // namespace
 
 soak_host::soak_host(const settings& values, const clock& time)
@@ -22,6 +25,7 @@
   assert(HasEnded());
   ++starts_;
   is_ending = false;
+  started_at_ = time_.Now();
   Disturb();
   process_ = std::make_unique<child_process>(
       std::vector<std::string>{settings_.program,
@@ -35,6 +39,10 @@
   }
 }
 
+bool soak_host::HasBegun() const {
+  return time_.Now() - started_at_ > kLoadTime;
+}
+
 void soak_host::Disturb() {
   disturbed_at_ = time_.Now();
 }
--- a/tests/platform/soak/soak_host.h
+++ b/tests/platform/soak/soak_host.h
@@ -31,6 +31,10 @@
 
   void Signal(int signal_number);
 
+  // Returns true once the process has had time to reach its main(). Before that
+  // a signal takes its default action, which no program can change.
+  bool HasBegun() const;
+
   // Notes that the host is disturbed from now on, or was until now.
   void Disturb();
 
@@ -59,6 +63,7 @@
   const clock& time_;
   std::unique_ptr<child_process> process_;
   std::uint32_t starts_ = 0;
+  time_point started_at_;
   time_point disturbed_at_;
 };
 
