Restore two checks of a failing service and the code that meets them

While a service fails, each target of its floor gets at least 0.3 of its usual requests, for cautious work too; otherwise cautious work avoids targets with a long memory as before. grey_targets_test compares with both the earlier comparison and the trials. evidence_board has one look-up.

In the soak, only SIGHUP waits until a host has begun; kill, stop and pause come at any time again. A host that is stopped before its main() ends with 143 and has logged nothing (seen at 0 ms plain, up to 20 ms with sanitizers), so its exit code is checked only if it had begun.

--- a/libraries/gateway/gateway_state.cc
+++ b/libraries/gateway/gateway_state.cc
@@ -10,9 +10,9 @@
 // hosts that callers with an old answer still use and hosts that take over.
 constexpr double kServingShareOfAllowance = 0.7;
 
-// A service fails if more than this share of its requests is not served. The
-// users require the floor to hold from a tenth on.
-constexpr double kFailingShare = 0.1;
+// A service fails if more than this share of its requests is not served. A
+// little below the tenth from which the users require the floor to hold.
+constexpr double kFailingShare = 0.08;
 
 // Part of a host's allowance that it may save for one moment; the rest comes
 // evenly over the window. In no window do the two exceed the allowance.
@@ -82,7 +82,7 @@
   const std::span<const registered_target> usable = targets_.Usable(service);
   const std::optional<std::size_t> chosen = chooser_.Choose(
       usable, evidence_,
-      {excluded_ids, time_.Now(), !is_idempotent && !IsFailing(service)});
+      {excluded_ids, time_.Now(), !is_idempotent, IsFailing(service)});
   if (!chosen) {
     return std::nullopt;
   }
--- a/libraries/placement/evidence_board.cc
+++ b/libraries/placement/evidence_board.cc
@@ -85,29 +85,19 @@
 
 double evidence_board::Suspicion(const target_key& target,
                                  time_point now) const {
-  const auto found = records_.find(target.id);
-  if (found == records_.end() ||
-      found->second.started_at_unix_ms != target.started_at_unix_ms) {
-    return 0.0;
-  }
-  return Decayed(found->second, now);
+  const record* const known = Find(target);
+  return known ? Decayed(*known, now) : 0.0;
 }
 
 double evidence_board::SuspicionWithoutRelapses(const target_key& target,
                                                 time_point now) const {
-  const auto found = records_.find(target.id);
-  if (found == records_.end() ||
-      found->second.started_at_unix_ms != target.started_at_unix_ms) {
-    return 0.0;
-  }
-  return Decayed(found->second, options_.time_constant, now);
+  const record* const known = Find(target);
+  return known ? Decayed(*known, options_.time_constant, now) : 0.0;
 }
 
 bool evidence_board::IsProven(const target_key& target, time_point now) const {
-  const auto found = records_.find(target.id);
-  return found != records_.end() &&
-         found->second.started_at_unix_ms == target.started_at_unix_ms &&
-         IsProven(found->second, now);
+  const record* const known = Find(target);
+  return known && IsProven(*known, now);
 }
 
 bool evidence_board::IsProven(const record& value, time_point now) const {
@@ -156,6 +146,15 @@
   return 0.0;
 }
 
+const evidence_board::record* evidence_board::Find(
+    const target_key& target) const {
+  const auto found = records_.find(target.id);
+  const bool is_known =
+      found != records_.end() &&
+      found->second.started_at_unix_ms == target.started_at_unix_ms;
+  return is_known ? &found->second : nullptr;
+}
+
 evidence_board::record& evidence_board::RecordOf(const target_key& target) {
   record& value = records_.try_emplace(std::string(target.id)).first->second;
   if (value.started_at_unix_ms != target.started_at_unix_ms) {
--- a/libraries/placement/evidence_board.h
+++ b/libraries/placement/evidence_board.h
@@ -132,6 +132,7 @@
 
   double WeightOf(target_observation observation) const;
   record& RecordOf(const target_key& target);
+  const record* Find(const target_key& target) const;
   record& Add(const target_key& target, double weight, time_point now);
   bool IsProven(const record& value, time_point now) const;
   void NoteFailure(record& value, time_point now) const;
--- a/libraries/placement/outcome_meter.cc
+++ b/libraries/placement/outcome_meter.cc
@@ -16,7 +16,7 @@
 }
 
 double outcome_meter::UnservedShare(time_point now) const {
-  if (unserved_ * Fading(now) < options_.minimum_unserved) {
+  if (requests_ * Fading(now) < options_.minimum_requests) {
     return 0.0;
   }
   return unserved_ / requests_;
--- a/libraries/placement/outcome_meter.h
+++ b/libraries/placement/outcome_meter.h
@@ -7,10 +7,9 @@
 
 struct outcome_meter_options {
   // A request counts for 1/e of its value after this time.
-  duration time_constant = std::chrono::seconds(5);
-  // Fewer recent requests than this that were not served say nothing: a host
-  // may see only two requests of a service in a second.
-  double minimum_unserved = 1.5;
+  duration time_constant = std::chrono::seconds(3);
+  // Fewer recent requests than this say nothing.
+  double minimum_requests = 12.0;
 };
 
 // The share of a service's recent requests that were not served. It never reads
@@ -21,7 +20,7 @@
 
   void Record(bool is_served, time_point now);
 
-  // Returns a share from 0 to 1; 0 if too few were not served.
+  // Returns a share from 0 to 1; 0 without enough requests.
   double UnservedShare(time_point now) const;
 
  private:
--- a/libraries/placement/target_chooser.cc
+++ b/libraries/placement/target_chooser.cc
@@ -67,8 +67,6 @@
       }));
   const zone_weights zones =
       WeighZones(local, targets.size(), view_.zone_count, options_);
-  const double factor = request.is_cautious ? options_.suspicion_factor
-                                            : options_.trial_suspicion_factor;
   std::vector<candidate> candidates;
   candidates.reserve(targets.size());
   for (std::size_t index = 0; index < targets.size(); ++index) {
@@ -87,8 +85,7 @@
     added.weight =
         static_cast<double>(target.entry.slots) *
         (target.entry.zone == view_.zone ? zones.local : zones.remote) *
-        LoadWeight(target, evidence) * 1.0 /
-        (1.0 + factor * added.suspicion * added.suspicion);
+        LoadWeight(target, evidence) * TrustWeight(added.suspicion, request);
     if (request.is_cautious && evidence.IsProven(key, request.now)) {
       added.weight *= options_.proven_factor;
     }
@@ -118,6 +115,15 @@
   }
 }
 
+double target_chooser::TrustWeight(double suspicion,
+                                   const placement_request& request) const {
+  const double factor = request.is_cautious ? options_.suspicion_factor
+                                            : options_.trial_suspicion_factor;
+  const double weight = 1.0 / (1.0 + factor * suspicion * suspicion);
+  return request.is_service_failing ? std::max(options_.failing_share, weight)
+                                    : weight;
+}
+
 double target_chooser::LoadWeight(const registered_target& target,
                                   const evidence_board& evidence) const {
   const double scale = std::min(
--- a/libraries/placement/target_chooser.h
+++ b/libraries/placement/target_chooser.h
@@ -25,6 +25,10 @@
   // The same for requests that are not cautious. They find out which targets
   // work again, and keep the floor of a service in use while it fails.
   double trial_suspicion_factor = 8.0;
+  // The least share of the usual requests that a suspected target gets while
+  // its service fails: every target that the floor keeps in use must then see
+  // requests, since the fault may be the load's and not the targets'.
+  double failing_share = 0.3;
   // Multiple of the usual requests that a target gets while it is proven. Each
   // target that starts to fail costs at least one request if it is in use, so
   // that fewer targets in use lose fewer requests.
@@ -44,9 +48,11 @@
   // Targets that the request must not meet again.
   std::span<const std::string> excluded_ids;
   time_point now;
-  // The request must not meet a failing target: it cannot be sent again, and
-  // most requests of its service are served.
+  // The request must not meet a failing target, because it cannot be sent
+  // again.
   bool is_cautious = false;
+  // Many recent requests of the service were not served.
+  bool is_service_failing = false;
 };
 
 // What the fleet looks like from this host.
@@ -86,6 +92,7 @@
                                     const placement_request& request) const;
   void ExcludeSuspected(std::size_t target_count,
                         std::vector<candidate>& candidates) const;
+  double TrustWeight(double suspicion, const placement_request& request) const;
   double LoadWeight(const registered_target& target,
                     const evidence_board& evidence) const;
 
--- a/tests/placement/grey_targets_test.cc
+++ b/tests/placement/grey_targets_test.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <functional>
@@ -42,12 +41,6 @@
 struct load_result {
   std::uint64_t requests = 0;
   std::uint64_t failed = 0;
-  // Requests that met a target with all slots in use.
-  std::uint64_t queued = 0;
-  // Failures that no choice of targets could have avoided.
-  std::uint64_t usual_failures = 0;
-  // The most that one target failed in one period.
-  std::uint64_t most_in_one_period = 0;
 
   double FailedShare() const {
     return static_cast<double>(failed) / static_cast<double>(requests);
@@ -61,7 +54,7 @@
                    const evidence_options& evidence,
                    const target_chooser_options& choice,
                    std::uint64_t seed)
-      : load_(load), random_(seed), choice_(choice) {
+      : load_(load), random_(seed) {
     for (std::size_t index = 0; index < load.targets; ++index) {
       target_entry entry;
       entry.id = "t" + std::to_string(index);
@@ -71,8 +64,7 @@
       phases_.push_back(random_.UniformReal());
     }
     is_failing_.resize(load.targets);
-    failures_.resize(load.targets);
-    held_.resize(load.targets);
+    period_of_.resize(load.targets, ~std::uint64_t{0});
     for (std::size_t index = 0; index < load.hosts; ++index) {
       boards_.emplace_back(evidence);
       choosers_.emplace_back(choice, random_);
@@ -110,11 +102,9 @@
                                  std::chrono::duration<double>(load_.period) +
                              phases_[index];
       const std::uint64_t period = static_cast<std::uint64_t>(periods);
-      if (period_of_.size() <= index || period_of_[index] != period) {
-        period_of_.resize(load_.targets, ~std::uint64_t{0});
+      if (period_of_[index] != period) {
         period_of_[index] = period;
         is_failing_[index] = random_.UniformReal() < load_.failing_share;
-        failures_[index] = 0;
       }
     }
   }
@@ -123,7 +113,6 @@
     while (!running_.empty() && running_.top().ends <= now) {
       const running ended = running_.top();
       running_.pop();
-      --held_[ended.target];
       const target_entry& entry = targets_[ended.target].entry;
       boards_[ended.host].EndRequest(entry.id);
       boards_[ended.host].ObserveHere({entry.id, 0},
@@ -142,9 +131,6 @@
     const bool fails_anyway = draw < load_.usual_failure_rate;
     if (fails_anyway || (is_failing_[*chosen] && draw < load_.failure_rate)) {
       ++result_.failed;
-      result_.usual_failures += fails_anyway ? 1 : 0;
-      result_.most_in_one_period =
-          std::max(result_.most_in_one_period, ++failures_[*chosen]);
       for (std::size_t other = 0; other < load_.hosts; ++other) {
         if (other == host) {
           boards_[other].ObserveHere({id, 0}, target_observation::kFailure,
@@ -157,26 +143,27 @@
       return;
     }
     boards_[host].BeginRequest(id);
-    if (++held_[*chosen] > 6)
-      ++result_.queued;
     running_.push({now + load_.work, host, *chosen});
   }
 
   grey_load load_;
   seeded_random random_;
-  target_chooser_options choice_;
   std::vector<registered_target> targets_;
   std::vector<double> phases_;
   std::vector<std::uint64_t> period_of_;
   std::vector<bool> is_failing_;
-  std::vector<std::uint64_t> failures_;
-  std::vector<int> held_;
   std::vector<evidence_board> boards_;
   std::vector<target_chooser> choosers_;
   std::priority_queue<running, std::vector<running>, std::greater<>> running_;
   load_result result_;
 };
 
+evidence_options WithoutRelapses() {
+  evidence_options options;
+  options.relapse_factor = 1.0;
+  return options;
+}
+
 // Guards against work that must not repeat and is lost because targets that
 // fail for many seconds are tried again every few seconds. Without knowledge of
 // the targets 23 of 100 such requests fail; 96 of 100 must be served.
@@ -185,10 +172,15 @@
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     const load_result result = grey_load_player({}, {}, {}, seed).Play();
     EXPECT_LT(result.FailedShare(), kMostFailed) << "seed " << seed;
+    target_chooser_options former_choice;
+    former_choice.suspicion_factor = 8.0;
+    const load_result former =
+        grey_load_player({}, WithoutRelapses(), former_choice, seed).Play();
+    EXPECT_LT(result.FailedShare(), former.FailedShare()) << "seed " << seed;
     grey_load trials;
     trials.is_cautious = false;
-    const load_result former = grey_load_player(trials, {}, {}, seed).Play();
-    EXPECT_LT(result.FailedShare(), former.FailedShare()) << "seed " << seed;
+    const load_result tried = grey_load_player(trials, {}, {}, seed).Play();
+    EXPECT_LT(result.FailedShare(), tried.FailedShare()) << "seed " << seed;
   }
 }
 
--- a/tests/placement/outcome_meter_test.cc
+++ b/tests/placement/outcome_meter_test.cc
@@ -10,13 +10,13 @@
 constexpr time_point kStart{std::chrono::hours(1)};
 
 // Guards against a service that counts as failing after one bad request.
-TEST(OutcomeMeterTest, OneBadRequestSaysNothing) {
+TEST(OutcomeMeterTest, FewRequestsSayNothing) {
   outcome_meter meter;
   EXPECT_EQ(meter.UnservedShare(kStart), 0.0);
-  meter.Record(false, kStart);
+  for (int request = 0; request < 11; ++request) {
+    meter.Record(false, kStart);
+  }
   EXPECT_EQ(meter.UnservedShare(kStart), 0.0);
-  meter.Record(false, kStart);
-  EXPECT_EQ(meter.UnservedShare(kStart), 1.0);
 }
 
 TEST(OutcomeMeterTest, GivesTheShareOfRecentRequests) {
@@ -34,9 +34,9 @@
     meter.Record(false, kStart);
   }
   for (int request = 0; request < 100; ++request) {
-    meter.Record(true, kStart + seconds(20));
+    meter.Record(true, kStart + seconds(12));
   }
-  EXPECT_LT(meter.UnservedShare(kStart + seconds(20)), 0.03);
+  EXPECT_LT(meter.UnservedShare(kStart + seconds(12)), 0.03);
   EXPECT_EQ(meter.UnservedShare(kStart + seconds(60)), 0.0);
 }
 
--- a/tests/placement/target_chooser_test.cc
+++ b/tests/placement/target_chooser_test.cc
@@ -88,8 +88,32 @@
   EXPECT_EQ(Place().size(), 9U);
 }
 
-// Guards against a failing service whose sound targets go unused because they
-// failed twice some seconds ago, or because a few proven ones take the
+// Guards against a service that fails and of which less than the floor sees
+// requests: nine targets get 160 requests in two seconds.
+TEST_F(TargetChooserTest, AFailingServiceUsesAllTargetsOfItsFloor) {
+  constexpr int kRequestsInTwoSeconds = 160;
+  constexpr int kRounds = 20;
+  constexpr std::size_t kFloor = 7;
+  targets_.erase(targets_.end() - 3, targets_.end());
+  for (const char* id : {"a0", "a1", "b0", "b1"}) {
+    for (int failure = 0; failure < 8; ++failure) {
+      board_.ObserveHere({id, 0}, target_observation::kFailure, kStart);
+    }
+  }
+  target_chooser chooser({}, random_);
+  for (int round = 0; round < kRounds; ++round) {
+    std::set<std::string> used;
+    for (int request = 0; request < kRequestsInTwoSeconds; ++request) {
+      const std::optional<std::size_t> chosen =
+          chooser.Choose(targets_, board_, {{}, kStart, false, true});
+      used.insert(targets_[*chosen].entry.id);
+    }
+    EXPECT_EQ(used.size(), kFloor) << "round " << round;
+  }
+}
+
+// Guards against a service whose sound targets go unused because they failed
+// twice some seconds ago, or because a few proven ones take the
 // requests: on trouble-2 of etg-gateway-grown three of seven got nothing for
 // two seconds.
 TEST_F(TargetChooserTest, RepeatableRequestsTryTargetsThatFailedSecondsAgo) {
--- a/tests/platform/soak/soak_host.h
+++ b/tests/platform/soak/soak_host.h
@@ -32,7 +32,8 @@
   void Signal(int signal_number);
 
   // Returns true once the process has had time to reach its main(). Before that
-  // a signal takes its default action, which no program can change.
+  // SIGHUP and SIGTERM take their default action, which no program can change:
+  // the process has accepted nothing and ends by the signal.
   bool HasBegun() const;
 
   // Notes that the host is disturbed from now on, or was until now.
--- a/tests/platform/soak/soak_ledger.h
+++ b/tests/platform/soak/soak_ledger.h
@@ -27,7 +27,6 @@
 
 // What the soak knows of the moment at which a request ended.
 struct soak_moment {
-  time_point now;
   // The host was not killed, paused or stopped since the request was sent.
   bool is_host_undisturbed = true;
   // The configuration with the route was written long enough ago, and nothing
--- a/tests/platform/soak/soak_ledger_test.cc
+++ b/tests/platform/soak/soak_ledger_test.cc
@@ -32,7 +32,7 @@
 TEST(SoakLedgerTest, AcceptsAWholeAnswer) {
   soak_ledger ledger;
   ledger.OnRun("1", "t", "body", kStart);
-  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "body"), {kStart});
+  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "body"), {});
   ledger.CheckAtEnd();
   EXPECT_TRUE(ledger.violations().empty());
 }
@@ -40,9 +40,9 @@
 TEST(SoakLedgerTest, FindsAnAnswerThatIsCutOrAnothers) {
   soak_ledger ledger;
   ledger.OnRun("1", "t", "body", kStart);
-  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "bod"), {kStart});
+  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "bod"), {});
   ledger.OnRun("2", "t", "other", kStart);
-  ledger.OnEnd(MakeRequest("2"), Answer(200, "1", "other"), {kStart});
+  ledger.OnEnd(MakeRequest("2"), Answer(200, "1", "other"), {});
   EXPECT_EQ(ledger.violations().size(), 2U);
 }
 
@@ -50,14 +50,14 @@
   soak_ledger ledger;
   ledger.OnRun("1", "t", "a", kStart);
   ledger.OnRun("1", "u", "b", kStart);
-  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "b"), {kStart});
+  ledger.OnEnd(MakeRequest("1"), Answer(200, "1", "b"), {});
   ledger.CheckAtEnd();
   EXPECT_EQ(ledger.violations().size(), 1U);
 }
 
 TEST(SoakLedgerTest, FindsWorkThatRanAlthoughItWasRefused) {
   soak_ledger ledger;
-  ledger.OnEnd(MakeRequest("1", true), Answer(503, "1", ""), {kStart});
+  ledger.OnEnd(MakeRequest("1", true), Answer(503, "1", ""), {});
   ledger.OnRun("1", "t", "late", kStart + std::chrono::seconds(1));
   ledger.CheckAtEnd();
   EXPECT_EQ(ledger.violations().size(), 1U);
@@ -67,11 +67,11 @@
   soak_ledger ledger;
   ledger.OnRun("1", "t", "a", kStart);
   ledger.OnEnd(MakeRequest("1"), exchange_failure::kClosedBeforeResponse,
-               {kStart, true, false});
+               {true, false});
   EXPECT_EQ(ledger.violations().size(), 1U);
   ledger.OnRun("2", "t", "a", kStart);
   ledger.OnEnd(MakeRequest("2"), exchange_failure::kClosedBeforeResponse,
-               {kStart, false, false});
+               {false, false});
   EXPECT_EQ(ledger.violations().size(), 1U);
 }
 
@@ -79,14 +79,14 @@
   soak_ledger ledger;
   soak_request request = MakeRequest("1", true);
   request.route_version = 3;
-  ledger.OnEnd(request, Answer(404, "1", ""), {kStart, true, false});
+  ledger.OnEnd(request, Answer(404, "1", ""), {true, false});
   EXPECT_TRUE(ledger.violations().empty());
-  ledger.OnEnd(request, Answer(404, "1", ""), {kStart, true, true});
+  ledger.OnEnd(request, Answer(404, "1", ""), {true, true});
   EXPECT_EQ(ledger.violations().size(), 1U);
   ledger.OnRun("1", "t", "a", kStart);
-  ledger.OnEnd(request, Answer(200, "1", "a"), {kStart});
+  ledger.OnEnd(request, Answer(200, "1", "a"), {});
   request.route_version = 2;
-  ledger.OnEnd(request, Answer(404, "1", ""), {kStart, true, false});
+  ledger.OnEnd(request, Answer(404, "1", ""), {true, false});
   EXPECT_EQ(ledger.violations().size(), 2U);
 }
 
--- a/tests/platform/soak/soak_run.cc
+++ b/tests/platform/soak/soak_run.cc
@@ -118,11 +118,9 @@
 }
 
 soak_moment soak_run::MomentOf(const soak_request& request) {
-  const time_point now = time_.Now();
   const soak_host& host = *hosts_[request.host];
   const time_point written = version_written_[request.route_version - 1];
   soak_moment moment;
-  moment.now = now;
   moment.is_host_undisturbed = host.IsUndisturbedSince(request.sent) &&
                                host.starts() == request.host_start;
   const time_point calm_since = request.sent - kApplyBound - kStableWindow;
@@ -199,7 +197,7 @@
   const std::uint64_t kind = random_.Uniform(kKinds);
   if (kind < 3) {
     soak_host& host = *hosts_[random_.Uniform(hosts_.size())];
-    if (!host.is_ending && host.HasBegun()) {
+    if (!host.is_ending) {
       InjectHostFault(host, length);
     }
   } else if (kind < 6) {
@@ -226,7 +224,7 @@
     NoteFault(host.id() + " stopped", kStopBound);
     host.is_ending = true;
     host.Signal(SIGTERM);
-    RestartWhenEnded(host, true, time_.Now());
+    RestartWhenEnded(host, host.HasBegun(), time_.Now());
   } else if (kind == 2) {
     NoteFault(host.id() + " paused", length);
     host.Disturb();
@@ -237,28 +235,28 @@
       host.Disturb();
       host.is_ending = false;
     });
-  } else {
+  } else if (host.HasBegun()) {
     NoteFault(host.id() + " hup", milliseconds(0));
     host.Signal(SIGHUP);
   }
 }
 
 void soak_run::RestartWhenEnded(soak_host& host,
-                                bool was_asked,
+                                bool must_end_in_order,
                                 time_point since) {
   if (!host.HasEnded()) {
     if (time_.Now() - since > kStopBound) {
       ledger_.Violate("stop", host.id() + " did not end in time");
       host.Disturb();
       host.Signal(SIGKILL);
-      was_asked = false;
+      must_end_in_order = false;
     }
-    After(kPollInterval, [this, &host, was_asked, since] {
-      RestartWhenEnded(host, was_asked, since);
+    After(kPollInterval, [this, &host, must_end_in_order, since] {
+      RestartWhenEnded(host, must_end_in_order, since);
     });
     return;
   }
-  if (was_asked && host.exit_code() != 0) {
+  if (must_end_in_order && host.exit_code() != 0) {
     ledger_.Violate("stop", host.id() + " ended with code " +
                                 std::to_string(host.exit_code()));
   }
--- a/tests/platform/soak/soak_run.h
+++ b/tests/platform/soak/soak_run.h
@@ -59,7 +59,9 @@
   void InjectTargetFault(std::chrono::milliseconds length);
   void InjectStoreFault(std::chrono::milliseconds length);
   void ReplaceTarget();
-  void RestartWhenEnded(soak_host& host, bool was_asked, time_point since);
+  void RestartWhenEnded(soak_host& host,
+                        bool must_end_in_order,
+                        time_point since);
   void NoteFault(const std::string& name, std::chrono::milliseconds length);
   void CheckHosts();
   void UpdateCalm();
