Let a host lead its zone only once it knows the other hosts

Change: a host leads at the earliest when it has the list of hosts. Until then it reads as a follower does. The stand-in of the store counts reads at the full price; the two new tests failed before the change.

--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -121,6 +121,7 @@
       hosts_.Add(host);
     }
   }
+  has_host_list_ = true;
   OnHostsChanged();
   peers_.Announce();
 }
@@ -180,7 +181,7 @@
                    .zone_count = hosts_.zone_count(),
                    .is_serving = hosts_.IsServing()},
                   options_.self.zone);
-  const bool leads = hosts_.IsZoneLeader() && !is_leaving_;
+  const bool leads = has_host_list_ && hosts_.IsZoneLeader() && !is_leaving_;
   if (leads == is_leading_) {
     return;
   }
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -84,7 +84,8 @@
   void OnTargetListLost();
   void OnTargetListRegained();
 
-  // Adds hosts from the list of hosts and announces this one to them.
+  // Adds hosts from the list of hosts and announces this one to them. The host
+  // leads its zone at the earliest from then on.
   void AddHosts(std::span<const host_entry> hosts);
 
   // Ends the service in order and calls `ended` once.
@@ -145,6 +146,9 @@
   int differing_checks_ = 0;
   std::uint64_t checked_version_ = 0;
   bool is_leading_ = false;
+  // Before that each host of a fleet that starts would take itself for the
+  // leader of its zone.
+  bool has_host_list_ = false;
   bool is_view_check_due_ = false;
   time_point leave_began_;
   std::function<void()> on_left_;
--- a/stand_ins/platform_store/platform_store.cc
+++ b/stand_ins/platform_store/platform_store.cc
@@ -188,6 +188,9 @@
   const call_target target = ParseTarget(request.target);
   const bool is_watch = target.query.contains("watch");
   ++calls_[request.method != "GET" ? "write" : is_watch ? "watch" : "list"];
+  if (request.method == "GET" && !target.query.contains("serializable")) {
+    ++calls_["current"];
+  }
   if (is_away_) {
     Answer(peer, MakeResponse(503, json::object()));
     return;
--- a/stand_ins/platform_store/platform_store.h
+++ b/stand_ins/platform_store/platform_store.h
@@ -46,7 +46,8 @@
   // Drops the history: watches from earlier revisions get 410.
   void DropHistory();
 
-  // Number of calls received, by "list", "watch" and "write".
+  // Number of calls received, by "list", "watch" and "write"; "current" counts
+  // the reads that accept no old data, which have ten times the price.
   int calls(const std::string& type) const;
 
   // Objects in a page of a list.
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -55,6 +55,7 @@
       sources_.push_back(std::make_unique<recording_source>());
       daemons_[index]->SetViewSource(*sources_[index]);
       EXPECT_TRUE(IsOk(daemons_[index]->Start()));
+      leads_before_others_are_known_ |= sources_[index]->is_leading;
     }
     for (const std::unique_ptr<edge_daemon>& daemon : daemons_) {
       daemon->AddHosts(entries);
@@ -75,6 +76,7 @@
   loop_clock time_;
   std::vector<std::unique_ptr<recording_source>> sources_;
   std::vector<std::unique_ptr<edge_daemon>> daemons_;
+  bool leads_before_others_are_known_ = false;
   std::size_t leader_ = 0;
 };
 
@@ -84,6 +86,11 @@
   return rules;
 }
 
+// Guards against hosts that all read for their zone while the fleet starts.
+TEST_F(ViewCheckTest, AHostLeadsOnlyOnceItKnowsTheOthers) {
+  EXPECT_FALSE(leads_before_others_are_known_);
+}
+
 // Seen on hunt-4067-3 of etg-gateway: watches of the store were cut off without
 // a word on all hosts, and each kept its old list of targets for 20 s.
 TEST_F(ViewCheckTest, AHostThatMissedAChangeIsTold) {
--- a/tests/platform/platform_host_test.cc
+++ b/tests/platform/platform_host_test.cc
@@ -80,6 +80,19 @@
             200);
 }
 
+// Seen on trouble-1 of etg-gateway-grown: each of 196 hosts took itself for the
+// leader of its zone until it knew the others, which cost four calls of the
+// full price a host at each start of the fleet.
+TEST_F(PlatformHostTest, ReadsAtTheLowPriceUntilItKnowsTheOtherHosts) {
+  PutConfiguration();
+  Start();
+  RunUntil([this] { return host_->daemon().IsReady(); });
+  loop_.run_for(milliseconds(300));
+  EXPECT_GE(store_.calls("list"), 2);
+  EXPECT_EQ(store_.calls("current"), 0);
+  RunUntil([this] { return store_.calls("current") > 0; });
+}
+
 TEST_F(PlatformHostTest, TellsCallersWhereToConnect) {
   Start();
   const proxy_response answer =
