--- a/tests/platform/store_watcher_test.cc
+++ b/tests/platform/store_watcher_test.cc
@@ -106,6 +106,22 @@
   EXPECT_EQ(listener_.regained, 1);
 }
 
+// Seen on trouble-1 of etg-gateway-grown: 69 hosts that the store turned away
+// for nine seconds asked it again and again for a current list, which costs ten
+// times as much as asking whether it answers at all.
+TEST_F(StoreWatcherTest, AsksAtTheLowPriceWhetherTheStoreIsBack) {
+  Start();
+  const int current_before = store_.calls("current");
+  store_.SetOutage(true);
+  watcher_.Renew(true);
+  RunUntil([this] { return store_.calls("list") >= 5; });
+  EXPECT_EQ(store_.calls("current"), current_before + 1);
+  store_.Put("things", "a", 1);
+  store_.SetOutage(false);
+  RunUntil([this] { return listener_.known.contains("a"); });
+  EXPECT_EQ(listener_.lists, 2);
+}
+
 // Seen on hunt-4067-3 of etg-gateway: a watch that was cut off without a word
 // kept the host's list of targets as it was for 20 s.
 TEST_F(StoreWatcherTest, AShortWatchNoticesThatItWasCutOff) {
