Send callers only to hosts that have rules and targets

Change: each datagram says whether its sender is ready: it has rules and a list of targets and is not leaving. Only ready hosts serve or lead a zone; one that is not ready is asked again like a lost one. A host that knows no ready host answers the question where to connect with 503, so that the caller asks another host, instead of naming itself. The test TellsCallersWhereToConnect now waits until the host is ready, because an answer before that is the fault.

--- a/libraries/peers/host_registry.cc
+++ b/libraries/peers/host_registry.cc
@@ -64,6 +64,14 @@
   heard_any_ = now;
 }
 
+bool host_registry::SetReady(std::string_view id, bool is_ready) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end()) {
+    return false;
+  }
+  return std::exchange(found->second.is_ready, is_ready) != is_ready;
+}
+
 void host_registry::OnReportedLost(std::string_view id, time_point now) {
   const auto found = hosts_.find(id);
   if (found == hosts_.end() || id == self_.id) {
@@ -141,7 +149,8 @@
   } else {
     watched = ServingOf(self_.zone);
     for (const record_map::value_type& known : hosts_) {
-      if (known.second.is_lost && known.second.entry.zone == self_.zone) {
+      const bool is_out_of_use = known.second.is_lost || !known.second.is_ready;
+      if (is_out_of_use && known.second.entry.zone == self_.zone) {
         watched.push_back(&known.second);
       }
     }
@@ -167,7 +176,7 @@
       continue;
     }
     ++zone_hosts;
-    if (known.second.is_leaving) {
+    if (known.second.is_leaving || !known.second.is_ready) {
       continue;
     }
     if (!known.second.is_lost || !trusts_view) {
@@ -255,6 +264,11 @@
   return found != hosts_.end() && found->second.is_lost;
 }
 
+bool host_registry::IsReady(std::string_view id) const {
+  const auto found = hosts_.find(id);
+  return found != hosts_.end() && found->second.is_ready;
+}
+
 std::size_t host_registry::lost_count() const {
   return static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [](const record_map::value_type& known) {
--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -76,6 +76,10 @@
   // A message of the host arrived.
   void OnHeard(std::string_view id, time_point now);
 
+  // The host, which may be this one, can serve callers or cannot. Other hosts
+  // count as ready until they say otherwise. Returns true if that is news.
+  bool SetReady(std::string_view id, bool is_ready);
+
   // Another host reports that the host is lost.
   void OnReportedLost(std::string_view id, time_point now);
 
@@ -83,7 +87,7 @@
   detector_actions Step(time_point now);
 
   // Returns the caller addresses for callers of `zone`: the serving hosts of
-  // the zone, or of all zones if it has none. Not empty.
+  // the zone, or of all zones if it has none. Empty if no host is ready.
   std::vector<endpoint> AddressesFor(std::string_view zone) const;
 
   // Returns the hosts that callers are sent to.
@@ -104,6 +108,7 @@
   std::vector<const host_entry*> ZoneNeighbours() const;
 
   bool IsLost(std::string_view id) const;
+  bool IsReady(std::string_view id) const;
   std::size_t host_count() const { return hosts_.size(); }
   std::size_t lost_count() const;
   std::size_t zone_count() const;
@@ -115,6 +120,7 @@
     std::uint64_t rank = 0;
     bool is_lost = false;
     bool is_leaving = false;
+    bool is_ready = true;
     std::optional<time_point> heard;
     // An unanswered ping, and how often it was sent.
     std::optional<time_point> pinged;
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -182,8 +182,18 @@
   const bool was_lost = hosts_.IsLost(message.sender_id);
   hosts_.OnHeard(message.sender_id, time_.Now());
   std::visit(body_handler{*this, message.sender_id}, message.body);
-  if (was_lost && !hosts_.IsLost(message.sender_id)) {
+  const bool is_readiness_news =
+      hosts_.SetReady(message.sender_id, message.is_sender_ready);
+  if (is_readiness_news) {
+    log_.Write(log_level::kInfo,
+               message.is_sender_ready ? "host_ready" : "host_unready",
+               {{"host", message.sender_id}});
+  }
+  const bool is_found = was_lost && !hosts_.IsLost(message.sender_id);
+  if (is_found) {
     log_.Write(log_level::kInfo, "host_found", {{"host", message.sender_id}});
+  }
+  if (is_readiness_news || is_found) {
     events_.OnHostsChanged();
   }
 }
@@ -275,7 +285,8 @@
   if (!IsOk(receiver)) {
     return;
   }
-  const std::string bytes = EncodePeerDatagram({hosts_.self().id, body});
+  const std::string bytes = EncodePeerDatagram(
+      {hosts_.self().id, body, hosts_.IsReady(hosts_.self().id)});
   socket_error ignored;  // Datagrams may get lost; the next step sends again.
   socket_.send_to(asio::buffer(bytes), ValueOf(receiver), 0, ignored);
 }
--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -13,7 +13,7 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t kHeaderFields = 2;
+constexpr std::size_t kHeaderFields = 3;
 constexpr std::size_t kMaxIdBytes = 256;
 constexpr std::uint64_t kMaxObservation =
     static_cast<std::uint64_t>(target_observation::kReusedConnectionLost);
@@ -167,7 +167,8 @@
 }  // namespace
 
 std::string EncodePeerDatagram(const peer_datagram& message) {
-  json fields = json::array({message.sender_id, message.body.index()});
+  json fields = json::array(
+      {message.sender_id, message.body.index(), message.is_sender_ready});
   std::visit(field_writer{fields}, message.body);
   const std::vector<std::uint8_t> bytes = json::to_cbor(fields);
   return {bytes.begin(), bytes.end()};
@@ -186,6 +187,7 @@
   peer_datagram message;
   message.sender_id = reader.Text();
   const std::uint64_t type = reader.Unsigned();
+  message.is_sender_ready = reader.Boolean();
   message.body = ReadBody(type, message.sender_id, reader);
   if (!reader.IsComplete()) {
     return faulty;
--- a/libraries/peers/peer_datagram.h
+++ b/libraries/peers/peer_datagram.h
@@ -82,12 +82,15 @@
 struct peer_datagram {
   std::string sender_id;
   peer_body body;
+  // The sender can serve callers.
+  bool is_sender_ready = true;
 
   bool operator==(const peer_datagram&) const = default;
 };
 
-// Returns the CBOR form: an array of the sender, the type's number and the
-// fields in the order of their declaration. Thread safe.
+// Returns the CBOR form: an array of the sender, the type's number, whether the
+// sender is ready, and the fields in the order of their declaration. Thread
+// safe.
 std::string EncodePeerDatagram(const peer_datagram& message);
 
 // Parses a datagram; kInvalidArgument for anything that EncodePeerDatagram()
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -46,6 +46,8 @@
   if (!IsOk(listening)) {
     return listening;
   }
+  // Not ready until the rules and the targets are known.
+  hosts_.SetReady(options_.self.id, false);
   OnHostsChanged();
   ScheduleUpkeep();
   log_.Write(log_level::kInfo, "host_started",
@@ -64,6 +66,7 @@
              {{"version", version}, {"routes", routes}});
   if (is_new) {
     PublishView();
+    UpdateReadiness();
   }
 }
 
@@ -92,6 +95,8 @@
   if (!changes.empty()) {
     PublishView();
   }
+  has_target_list_ = true;
+  UpdateReadiness();
 }
 
 void edge_daemon::OnTargetListLost() {
@@ -127,7 +132,15 @@
 }
 
 bool edge_daemon::IsReady() const {
-  return state_.rules() != nullptr && !is_leaving_;
+  return state_.rules() != nullptr && has_target_list_ && !is_leaving_;
+}
+
+void edge_daemon::UpdateReadiness() {
+  if (!hosts_.SetReady(options_.self.id, IsReady())) {
+    return;
+  }
+  OnHostsChanged();
+  peers_.Announce();
 }
 
 std::vector<endpoint> edge_daemon::AddressesFor(std::string_view zone) const {
@@ -289,6 +302,7 @@
   on_left_ = std::move(ended);
   leave_began_ = time_.Now();
   gateway_.BeginLeaving();
+  UpdateReadiness();
   peers_.AnnounceLeaving();
   log_.Write(log_level::kInfo, "host_leaving",
              {{"host", options_.self.id},
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -91,10 +91,11 @@
   // Ends the service in order and calls `ended` once.
   void Leave(std::function<void()> ended);
 
-  // Returns true if callers may be sent to this host.
+  // Returns true if callers may be sent to this host: it has rules and a list
+  // of targets, and is not leaving.
   bool IsReady() const;
 
-  // Returns where callers of `zone` should connect.
+  // Returns where callers of `zone` should connect; empty if no host is ready.
   std::vector<endpoint> AddressesFor(std::string_view zone) const;
 
   metric_registry& metrics() { return metrics_; }
@@ -119,6 +120,7 @@
   void LogTargetChange(const target_change& change);
   host_view OwnView() const;
   void PublishView();
+  void UpdateReadiness();
   void ScheduleViewCheck();
   void CheckView();
   void ScheduleUpkeep();
@@ -146,6 +148,7 @@
   int differing_checks_ = 0;
   std::uint64_t checked_version_ = 0;
   bool is_leading_ = false;
+  bool has_target_list_ = false;
   // Before that each host of a fleet that starts would take itself for the
   // leader of its zone.
   bool has_host_list_ = false;
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -39,6 +39,12 @@
   return {"127.0.0.1", probe.local_endpoint().port()};
 }
 
+rule_set MakeRules(std::uint64_t version) {
+  rule_set rules;
+  rules.version = version;
+  return rules;
+}
+
 // Two hosts of a zone, of which one leads.
 class ViewCheckTest : public testing::Test {
  protected:
@@ -58,6 +64,8 @@
       leads_before_others_are_known_ |= sources_[index]->is_leading;
     }
     for (const std::unique_ptr<edge_daemon>& daemon : daemons_) {
+      daemon->ApplyRules(MakeRules(1));
+      daemon->ReplaceTargets({});
       daemon->AddHosts(entries);
     }
     RunUntil(
@@ -80,12 +88,6 @@
   std::size_t leader_ = 0;
 };
 
-rule_set MakeRules(std::uint64_t version) {
-  rule_set rules;
-  rules.version = version;
-  return rules;
-}
-
 // Guards against hosts that all read for their zone while the fleet starts.
 TEST_F(ViewCheckTest, AHostLeadsOnlyOnceItKnowsTheOthers) {
   EXPECT_FALSE(leads_before_others_are_known_);
--- a/tests/peers/host_registry_test.cc
+++ b/tests/peers/host_registry_test.cc
@@ -139,6 +139,47 @@
   EXPECT_EQ(ServingIds("b"), before);
 }
 
+// Guards against callers that are sent to hosts which have no configuration:
+// seen on hosts-start-without-the-store, where the store was away while hosts
+// were started again.
+TEST_F(HostRegistryTest, AHostThatIsNotReadyGetsNoCallers) {
+  const std::set<std::string> before = ServingIds("b");
+  const std::string unready = *before.begin();
+  EXPECT_TRUE(directory_.SetReady(unready, false));
+  EXPECT_FALSE(directory_.SetReady(unready, false));
+  EXPECT_FALSE(ServingIds("b").contains(unready));
+  EXPECT_EQ(ServingIds("b").size(), 3U);
+  EXPECT_TRUE(directory_.SetReady(unready, true));
+  EXPECT_EQ(ServingIds("b"), before);
+}
+
+TEST_F(HostRegistryTest, WithoutAReadyHostThereIsNoAddress) {
+  for (const char* zone : {"a", "b", "c"}) {
+    for (int number = 1; number <= kHostsPerZone; ++number) {
+      directory_.SetReady(zone + ("-" + std::to_string(number)), false);
+    }
+  }
+  EXPECT_TRUE(directory_.AddressesFor("a").empty());
+  EXPECT_FALSE(directory_.IsZoneLeader());
+}
+
+// The announcement of a host that becomes ready may get lost.
+TEST_F(HostRegistryTest, AHostThatIsNotReadyIsAskedAgain) {
+  const auto is_unserving = [this](const std::string& id) {
+    return !ServingIds("a").contains(id);
+  };
+  std::string unready;
+  for (int number = 2; number <= kHostsPerZone; ++number) {
+    const std::string id = "a-" + std::to_string(number);
+    if (is_unserving(id)) {
+      unready = id;
+    }
+  }
+  directory_.SetReady(unready, false);
+  Detect({unready}, seconds(10));
+  EXPECT_TRUE(directory_.IsLost(unready));
+}
+
 TEST_F(HostRegistryTest, EachZoneHasOneLeader) {
   int leaders = 0;
   for (int number = 1; number <= kHostsPerZone; ++number) {
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -143,5 +143,21 @@
   }
 }
 
+TEST_F(PeerAgentTest, AHostSaysWhetherItIsReady) {
+  hosts_[2]->hosts.SetReady("host-3", false);
+  hosts_[2]->agent.Announce();
+  loop_.run_for(milliseconds(200));
+  for (std::size_t index : {0, 1}) {
+    EXPECT_FALSE(hosts_[index]->hosts.IsReady("host-3"));
+    EXPECT_EQ(hosts_[index]->hosts.ServingHosts().size(), 2U);
+  }
+  hosts_[2]->hosts.SetReady("host-3", true);
+  hosts_[2]->agent.Announce();
+  loop_.run_for(milliseconds(200));
+  for (std::size_t index : {0, 1}) {
+    EXPECT_EQ(hosts_[index]->hosts.ServingHosts().size(), 3U);
+  }
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/peers/peer_datagram_test.cc
+++ b/tests/peers/peer_datagram_test.cc
@@ -15,7 +15,8 @@
           {"h", host_lost_body{"x"}},
           {"h", observation_report{"t", -1, target_observation::kBadAnswer}},
           {"h", target_loss_report{~std::uint64_t{0}, "t"}},
-          {"h", host_view{3, ~std::uint64_t{0}}}};
+          {"h", host_view{3, ~std::uint64_t{0}}},
+          {"h", ping_body{7, false}, false}};
 }
 
 TEST(PeerDatagramTest, DecodesWhatItEncodes) {
@@ -38,10 +39,13 @@
 }
 
 TEST(PeerDatagramTest, RefusesUnknownTypesAndObservations) {
-  // ["h", 99] and ["h", 5, "t", 0, 99]
-  EXPECT_FALSE(IsOk(DecodePeerDatagram("\x82\x61h\x18\x63")));
-  EXPECT_FALSE(IsOk(
-      DecodePeerDatagram(std::string("\x85\x61h\x05\x61t\x00\x18\x63", 9))));
+  // ["h", 99, true] and ["h", 5, true, "t", 0, 99]
+  EXPECT_FALSE(IsOk(DecodePeerDatagram("\x83\x61h\x18\x63\xf5")));
+  EXPECT_FALSE(IsOk(DecodePeerDatagram(
+      std::string("\x86\x61h\x05\xf5\x61t\x00\x18\x63", 10))));
+  // The same with a known observation.
+  EXPECT_TRUE(IsOk(
+      DecodePeerDatagram(std::string("\x86\x61h\x05\xf5\x61t\x00\x01", 9))));
 }
 
 }  // namespace
--- a/tests/platform/platform_host_test.cc
+++ b/tests/platform/platform_host_test.cc
@@ -93,8 +93,28 @@
   RunUntil([this] { return store_.calls("current") > 0; });
 }
 
+// Guards against callers that are sent to a host which can only refuse them.
+TEST_F(PlatformHostTest, NamesNoHostWhileItKnowsNoneThatIsReady) {
+  store_.SetOutage(true);
+  PutConfiguration();
+  Start();
+  loop_.run_for(milliseconds(300));
+  const proxy_request question{
+      "GET", "/resolve?name=h&region=z&zone=z-a", {}, ""};
+  EXPECT_EQ(AnswerDiscovery(host_->daemon(), std::chrono::seconds(2), question)
+                .status,
+            503);
+  store_.SetOutage(false);
+  RunUntil([this] { return host_->daemon().IsReady(); });
+  EXPECT_EQ(AnswerDiscovery(host_->daemon(), std::chrono::seconds(2), question)
+                .status,
+            200);
+}
+
 TEST_F(PlatformHostTest, TellsCallersWhereToConnect) {
+  PutConfiguration();
   Start();
+  RunUntil([this] { return host_->daemon().IsReady(); });
   const proxy_response answer =
       AnswerDiscovery(host_->daemon(), std::chrono::seconds(2),
                       {"GET", "/resolve?name=h&region=z&zone=z-a", {}, ""});
