Repeat announcements only where they matter

Change: the first round goes to all hosts, the repeats to the own zone and to the serving hosts of the others, which send callers or reports to the host. The rest learn of it by the list of hosts or by its pings.

The new test counted three announcements where it now counts one.

--- a/libraries/peers/host_registry.cc
+++ b/libraries/peers/host_registry.cc
@@ -259,6 +259,16 @@
   return neighbours;
 }
 
+std::vector<const host_entry*> host_registry::CloseHosts() const {
+  std::vector<const host_entry*> close = ZoneNeighbours();
+  for (const host_entry* host : ServingHosts()) {
+    if (host->zone != self_.zone) {
+      close.push_back(host);
+    }
+  }
+  return close;
+}
+
 bool host_registry::IsLost(std::string_view id) const {
   const auto found = hosts_.find(id);
   return found != hosts_.end() && found->second.is_lost;
--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -107,6 +107,10 @@
   // Returns the other hosts of this host's zone.
   std::vector<const host_entry*> ZoneNeighbours() const;
 
+  // Returns the other hosts of this host's zone and the serving hosts of the
+  // other zones: those that send callers or reports to this host.
+  std::vector<const host_entry*> CloseHosts() const;
+
   bool IsLost(std::string_view id) const;
   bool IsReady(std::string_view id) const;
   std::size_t host_count() const { return hosts_.size(); }
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -80,8 +80,9 @@
   if (announcements_left_ == 0 || is_leaving_) {
     return;
   }
+  Broadcast(ReceiversOfRound(options_.announcements - announcements_left_),
+            hello_body{hosts_.self()});
   --announcements_left_;
-  Broadcast(hosts_.OtherHosts(), hello_body{hosts_.self()});
   announcement_timer_.expires_after(options_.announcement_interval);
   announcement_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
@@ -92,11 +93,15 @@
 
 void peer_agent::AnnounceLeaving() {
   is_leaving_ = true;
-  for (int sent = 0; sent < options_.announcements; ++sent) {
-    Broadcast(hosts_.OtherHosts(), leaving_body{});
+  for (int round = 0; round < options_.announcements; ++round) {
+    Broadcast(ReceiversOfRound(round), leaving_body{});
   }
 }
 
+std::vector<const host_entry*> peer_agent::ReceiversOfRound(int round) const {
+  return round == 0 ? hosts_.OtherHosts() : hosts_.CloseHosts();
+}
+
 void peer_agent::Report(const observation_report& report) {
   if (TryTakeReport()) {
     Broadcast(hosts_.ServingHosts(), report);
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,7 +40,9 @@
 struct peer_agent_options {
   // Time between two steps of the failure detector.
   std::chrono::milliseconds step_interval{500};
-  // Datagrams get lost, so a host announces itself this number of times.
+  // Datagrams get lost, so a host announces itself this number of times, from
+  // the second time on only to the hosts that use what they know of it. The
+  // others learn of it by the list of hosts or by its pings.
   int announcements = 3;
   std::chrono::milliseconds announcement_interval{200};
   // Reports a second that one host sends at most; further ones are dropped,
@@ -97,6 +100,7 @@
   void ScheduleStep();
   void Step();
   void ScheduleAnnouncement();
+  std::vector<const host_entry*> ReceiversOfRound(int round) const;
   bool TryTakeReport();
   void Send(const endpoint& address, const peer_body& body);
   void Broadcast(std::span<const host_entry* const> hosts,
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -1,6 +1,9 @@
 #include "libraries/peers/peer_agent.h"
 
+#include <array>
 #include <memory>
+#include <set>
+#include <variant>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -143,6 +146,54 @@
   }
 }
 
+// Guards against control traffic between zones that grows with the square of
+// the fleet: on quiet-1 of lfmwl-gateway-grown 4 of 10 MB between zones were
+// repeats of announcements, each sent to each of 149 hosts.
+TEST_F(PeerAgentTest, AnnouncementsAreRepeatedOnlyWhereTheyMatter) {
+  constexpr std::size_t kOtherZoneHosts = 5;
+  constexpr std::size_t kServing = 3;
+  std::vector<boost::asio::ip::udp::socket> receivers;
+  std::set<endpoint> serving;
+  for (std::size_t number = 0; number < kOtherZoneHosts; ++number) {
+    receivers.emplace_back(loop_,
+                           boost::asio::ip::udp::endpoint(
+                               boost::asio::ip::make_address("127.0.0.1"), 0));
+    receivers.back().non_blocking(true);
+    hosts_[0]->hosts.Add(
+        {"far-" + std::to_string(number),
+         "b",
+         {"127.0.0.1", 1},
+         {"127.0.0.1", receivers.back().local_endpoint().port()}});
+  }
+  for (const host_entry* host : hosts_[0]->hosts.ServingHosts()) {
+    serving.insert(host->peer_address);
+  }
+  hosts_[0]->agent.Announce();
+  loop_.run_for(milliseconds(700));
+  std::size_t repeated = 0;
+  for (boost::asio::ip::udp::socket& receiver : receivers) {
+    std::size_t hellos = 0;
+    std::array<char, 2048> buffer{};
+    boost::system::error_code failure;
+    while (true) {
+      const std::size_t size =
+          receiver.receive(boost::asio::buffer(buffer), 0, failure);
+      if (failure) {
+        break;
+      }
+      const result<peer_datagram> message =
+          DecodePeerDatagram({buffer.data(), size});
+      ASSERT_TRUE(IsOk(message));
+      hellos += std::holds_alternative<hello_body>(ValueOf(message).body);
+    }
+    const bool is_serving =
+        serving.contains({"127.0.0.1", receiver.local_endpoint().port()});
+    EXPECT_EQ(hellos, is_serving ? 3U : 1U);
+    repeated += is_serving;
+  }
+  EXPECT_EQ(repeated, kServing);
+}
+
 TEST_F(PeerAgentTest, AHostSaysWhetherItIsReady) {
   hosts_[2]->hosts.SetReady("host-3", false);
   hosts_[2]->agent.Announce();
