Tell the hosts of a zone which targets fail

Cause: reports about targets go to serving hosts only.

Change: the leader of a zone names up to 24 targets that it suspects to its zone each second and at each change, in one datagram below 1 KB. Hosts that do not serve take over these suspicions where they are stronger than their own. It also helps a host that takes a lost one's place.

--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -117,6 +117,10 @@
   Broadcast(hosts_.ZoneNeighbours(), view);
 }
 
+void peer_agent::PublishSuspicions(const suspicion_summary& summary) {
+  Broadcast(hosts_.ZoneNeighbours(), summary);
+}
+
 bool peer_agent::TryTakeReport() {
   const time_point now = time_.Now();
   const double elapsed =
@@ -254,6 +258,10 @@
   events_.OnView(body);
 }
 
+void peer_agent::HandleBody(const std::string&, const suspicion_summary& body) {
+  events_.OnSuspicions(body);
+}
+
 void peer_agent::ScheduleStep() {
   const double factor = 1.0 + kStepJitter * (2.0 * random_.UniformReal() - 1.0);
   step_timer_.expires_after(std::chrono::duration_cast<duration>(
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -33,6 +33,9 @@
   // The zone's first serving host states what it knows.
   virtual void OnView(const host_view& view) = 0;
 
+  // Another host states which targets it suspects.
+  virtual void OnSuspicions(const suspicion_summary& summary) = 0;
+
   // Hosts were added, lost or found.
   virtual void OnHostsChanged() = 0;
 };
@@ -82,6 +85,9 @@
   // Tells the hosts of this zone what this host knows.
   void PublishView(const host_view& view);
 
+  // Tells the hosts of this zone which targets this host suspects.
+  void PublishSuspicions(const suspicion_summary& summary);
+
  private:
   struct body_handler;
 
@@ -96,6 +102,7 @@
   void HandleBody(const std::string& sender, const observation_report& body);
   void HandleBody(const std::string& sender, const target_loss_report& body);
   void HandleBody(const std::string& sender, const host_view& body);
+  void HandleBody(const std::string& sender, const suspicion_summary& body);
   bool IsFromHost(const peer_datagram& message) const;
   void ScheduleStep();
   void Step();
--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -48,6 +48,13 @@
     fields.push_back(body.rules_version);
     fields.push_back(body.targets_digest);
   }
+  void operator()(const suspicion_summary& body) const {
+    for (const target_suspicion& target : body.targets) {
+      fields.push_back(target.target_id);
+      fields.push_back(target.started_at_unix_ms);
+      fields.push_back(target.thousandths);
+    }
+  }
 };
 
 // Reads typed fields one after the other and remembers whether all were there.
@@ -104,6 +111,8 @@
 
   void MarkFaulty() { is_faulty_ = true; }
 
+  bool IsAtEnd() const { return is_faulty_ || next_ == fields_.size(); }
+
   bool IsComplete() const { return !is_faulty_ && next_ == fields_.size(); }
 
  private:
@@ -158,6 +167,16 @@
       const std::uint64_t rules_version = reader.Unsigned();
       return host_view{rules_version, reader.Unsigned()};
     }
+    case 8: {
+      suspicion_summary body;
+      while (!reader.IsAtEnd()) {
+        target_suspicion& target = body.targets.emplace_back();
+        target.target_id = reader.Text();
+        target.started_at_unix_ms = reader.Signed();
+        target.thousandths = reader.Unsigned();
+      }
+      return body;
+    }
     default:
       reader.MarkFaulty();
       return leaving_body{};
--- a/libraries/peers/peer_datagram.h
+++ b/libraries/peers/peer_datagram.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "libraries/base/result.h"
 #include "libraries/peers/host_registry.h"
@@ -69,6 +70,23 @@
   bool operator==(const host_view&) const = default;
 };
 
+struct target_suspicion {
+  std::string target_id;
+  std::int64_t started_at_unix_ms = 0;
+  // In thousandths, so that the datagram has no fractions.
+  std::uint64_t thousandths = 0;
+
+  bool operator==(const target_suspicion&) const = default;
+};
+
+// The targets that the sender suspects most. Hosts that take few requests hear
+// no single reports.
+struct suspicion_summary {
+  std::vector<target_suspicion> targets;
+
+  bool operator==(const suspicion_summary&) const = default;
+};
+
 using peer_body = std::variant<ping_body,
                                pong_body,
                                hello_body,
@@ -76,7 +94,8 @@
                                host_lost_body,
                                observation_report,
                                target_loss_report,
-                               host_view>;
+                               host_view,
+                               suspicion_summary>;
 
 // One datagram between hosts.
 struct peer_datagram {
--- a/libraries/placement/evidence_board.cc
+++ b/libraries/placement/evidence_board.cc
@@ -83,6 +83,38 @@
   }
 }
 
+void evidence_board::LearnSuspicion(const target_key& target,
+                                    double suspicion,
+                                    time_point now) {
+  record& value = RecordOf(target);
+  value.suspicion = std::min(options_.maximum_suspicion,
+                             std::max(Decayed(value, now), suspicion));
+  value.updated = now;
+  value.succeeded.reset();
+}
+
+std::vector<evidence_board::suspected_target> evidence_board::MostSuspected(
+    std::size_t count,
+    double least,
+    time_point now) const {
+  std::vector<suspected_target> suspected;
+  for (const record_map::value_type& entry : records_) {
+    const double suspicion = Decayed(entry.second, now);
+    if (suspicion >= least) {
+      suspected.push_back(
+          {entry.first, entry.second.started_at_unix_ms, suspicion});
+    }
+  }
+  std::sort(suspected.begin(), suspected.end(),
+            [](const suspected_target& left, const suspected_target& right) {
+              return left.suspicion > right.suspicion;
+            });
+  if (suspected.size() > count) {
+    suspected.resize(count);
+  }
+  return suspected;
+}
+
 double evidence_board::Suspicion(const target_key& target,
                                  time_point now) const {
   const record* const known = Find(target);
--- a/libraries/placement/evidence_board.h
+++ b/libraries/placement/evidence_board.h
@@ -1,11 +1,13 @@
 #ifndef LIBRARIES_PLACEMENT_EVIDENCE_BOARD_H_
 #define LIBRARIES_PLACEMENT_EVIDENCE_BOARD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/base/clock.h"
 
@@ -94,6 +96,25 @@
                         target_observation observation,
                         time_point now);
 
+  // Enters how far another host suspects a target; a stronger suspicion of this
+  // host's own stays. For hosts that hear no single reports.
+  void LearnSuspicion(const target_key& target,
+                      double suspicion,
+                      time_point now);
+
+  // A target that is suspected.
+  struct suspected_target {
+    std::string id;
+    std::int64_t started_at_unix_ms = 0;
+    double suspicion = 0.0;
+  };
+
+  // Returns the `count` most suspected targets of at least `least`, the most
+  // suspected first.
+  std::vector<suspected_target> MostSuspected(std::size_t count,
+                                              double least,
+                                              time_point now) const;
+
   // Returns the present suspicion, 0 or more.
   double Suspicion(const target_key& target, time_point now) const;
 
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -18,6 +18,12 @@
 // longer than this is looked into.
 constexpr duration kViewPatience = std::chrono::milliseconds(1000);
 
+// Targets that a leader names to its zone each second, so that the datagram
+// stays below 1 KB, and the least suspicion that keeps requests away.
+constexpr std::size_t kNamedSuspects = 24;
+constexpr double kNamedSuspicion = 0.3;
+constexpr double kThousandths = 1000.0;
+
 constexpr duration kLeaveStep = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -216,6 +222,7 @@
     return;
   }
   peers_.PublishView(OwnView());
+  PublishSuspicions();
   publish_timer_.expires_after(kViewInterval);
   publish_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
@@ -224,6 +231,32 @@
   });
 }
 
+void edge_daemon::PublishSuspicions() {
+  suspicion_summary summary;
+  for (const evidence_board::suspected_target& target :
+       state_.evidence().MostSuspected(kNamedSuspects, kNamedSuspicion,
+                                       time_.Now())) {
+    summary.targets.push_back(
+        {target.id, target.started_at_unix_ms,
+         static_cast<std::uint64_t>(target.suspicion * kThousandths)});
+  }
+  if (!summary.targets.empty()) {
+    peers_.PublishSuspicions(summary);
+  }
+}
+
+void edge_daemon::OnSuspicions(const suspicion_summary& summary) {
+  // Serving hosts hear each report themselves.
+  if (hosts_.IsServing()) {
+    return;
+  }
+  for (const target_suspicion& target : summary.targets) {
+    state_.evidence().LearnSuspicion(
+        {target.target_id, target.started_at_unix_ms},
+        static_cast<double>(target.thousandths) / kThousandths, time_.Now());
+  }
+}
+
 void edge_daemon::OnView(const host_view& view) {
   leader_view_ = view;
   if (view == OwnView()) {
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -115,11 +115,13 @@
   void OnObservation(const observation_report& report) override;
   void OnTargetLost(const target_loss_report& report) override;
   void OnView(const host_view& view) override;
+  void OnSuspicions(const suspicion_summary& summary) override;
   void OnHostsChanged() override;
 
   void LogTargetChange(const target_change& change);
   host_view OwnView() const;
   void PublishView();
+  void PublishSuspicions();
   void UpdateReadiness();
   void ScheduleViewCheck();
   void CheckView();
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -1,5 +1,7 @@
+#include <array>
 #include <functional>
 #include <memory>
+#include <variant>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -57,6 +59,7 @@
     for (std::size_t index = 0; index < entries.size(); ++index) {
       edge_options options;
       options.self = entries[index];
+      options.hosts.serving_hosts_per_zone = 1;
       daemons_.push_back(std::make_unique<edge_daemon>(loop_, options));
       sources_.push_back(std::make_unique<recording_source>());
       daemons_[index]->SetViewSource(*sources_[index]);
@@ -120,6 +123,39 @@
   EXPECT_EQ(differences.back().checks, 1);
 }
 
+// Guards against hosts outside the serving set that meet failing targets again
+// and again because no report reaches them: seen on hunt-3568-27 of
+// lfmwl-gateway, where 76 of 90 requests on added routes failed at such hosts.
+TEST_F(ViewCheckTest, ALeaderTellsItsZoneWhichTargetsFail) {
+  boost::asio::ip::udp::socket listener(
+      loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  listener.non_blocking(true);
+  const endpoint address{"127.0.0.1", listener.local_endpoint().port()};
+  const std::vector<host_entry> added{
+      {"host-3", "a", {"127.0.0.1", 1}, address}};
+  daemons_[leader_]->AddHosts(added);
+  const std::string report = EncodePeerDatagram(
+      {"host-3", observation_report{"t", 5, target_observation::kFailure}});
+  listener.send_to(boost::asio::buffer(report),
+                   {boost::asio::ip::make_address("127.0.0.1"),
+                    daemons_[leader_]->self().peer_address.port});
+  bool is_told = false;
+  RunUntil([&] {
+    std::array<char, 2048> buffer{};
+    boost::system::error_code failure;
+    const std::size_t size =
+        listener.receive(boost::asio::buffer(buffer), 0, failure);
+    const result<peer_datagram> message =
+        DecodePeerDatagram({buffer.data(), failure ? 0 : size});
+    const suspicion_summary* summary =
+        IsOk(message) ? std::get_if<suspicion_summary>(&ValueOf(message).body)
+                      : nullptr;
+    is_told = summary && summary->targets[0].target_id == "t";
+    return is_told;
+  });
+  EXPECT_TRUE(is_told);
+}
+
 TEST_F(ViewCheckTest, AHostThatReadsTheChangeInTimeMakesNoCall) {
   const std::size_t follower = 1 - leader_;
   target_entry entry;
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -41,6 +41,9 @@
     losses.push_back(report);
   }
   void OnView(const host_view& view) override { views.push_back(view); }
+  void OnSuspicions(const suspicion_summary& summary) override {
+    summaries.push_back(summary);
+  }
   void OnHostsChanged() override {}
 
  private:
@@ -52,6 +55,7 @@
   std::vector<observation_report> observations;
   std::vector<target_loss_report> losses;
   std::vector<host_view> views;
+  std::vector<suspicion_summary> summaries;
 };
 
 std::uint16_t FreeUdpPort(boost::asio::io_context& loop) {
@@ -101,12 +105,15 @@
       observation_report{"t", 5, target_observation::kFailure});
   hosts_[0]->agent.Report(target_loss_report{9, "t"});
   hosts_[0]->agent.PublishView({3, 4});
+  hosts_[0]->agent.PublishSuspicions({{{"t", 5, 1000}}});
   loop_.run_for(milliseconds(200));
   for (std::size_t index : {1, 2}) {
     ASSERT_EQ(hosts_[index]->observations.size(), 1U);
     EXPECT_EQ(hosts_[index]->observations[0].target_id, "t");
     ASSERT_EQ(hosts_[index]->losses.size(), 1U);
     ASSERT_EQ(hosts_[index]->views.size(), 1U);
+    ASSERT_EQ(hosts_[index]->summaries.size(), 1U);
+    EXPECT_EQ(hosts_[index]->summaries[0].targets[0].thousandths, 1000U);
   }
 }
 
--- a/tests/placement/evidence_board_test.cc
+++ b/tests/placement/evidence_board_test.cc
@@ -70,5 +70,38 @@
   EXPECT_EQ(board.RequestsHeld("t"), 0U);
 }
 
+// Guards against hosts that take few requests and send them to targets that the
+// hosts of their zone know to fail.
+TEST(EvidenceBoardTest, LearnsTheSuspicionOfAnotherHost) {
+  evidence_board teller;
+  for (int failure = 0; failure < 2; ++failure) {
+    teller.ObserveHere({"bad", 1}, target_observation::kFailure, kStart);
+  }
+  teller.ObserveHere({"doubtful", 1}, target_observation::kFailure, kStart);
+  teller.ObserveHere({"sound", 1}, target_observation::kSuccess, kStart);
+  const std::vector<evidence_board::suspected_target> suspected =
+      teller.MostSuspected(5, 0.3, kStart);
+  ASSERT_EQ(suspected.size(), 2U);
+  EXPECT_EQ(suspected[0].id, "bad");
+  EXPECT_EQ(teller.MostSuspected(1, 0.3, kStart).size(), 1U);
+
+  evidence_board learner;
+  for (const evidence_board::suspected_target& target : suspected) {
+    learner.LearnSuspicion({target.id, target.started_at_unix_ms},
+                           target.suspicion, kStart);
+  }
+  EXPECT_EQ(learner.Suspicion({"bad", 1}, kStart),
+            teller.Suspicion({"bad", 1}, kStart));
+  // Another incarnation is another target.
+  EXPECT_EQ(learner.Suspicion({"bad", 2}, kStart), 0.0);
+}
+
+TEST(EvidenceBoardTest, AStrongerSuspicionOfItsOwnStays) {
+  evidence_board board;
+  board.ObserveHere({"t", 1}, target_observation::kFailure, kStart);
+  board.LearnSuspicion({"t", 1}, 0.3, kStart);
+  EXPECT_EQ(board.Suspicion({"t", 1}, kStart), 1.0);
+}
+
 }  // namespace
 }  // namespace bulrushshore
