Start the tests' process fleet when its hosts know each other

A trial with a line for each crash report shows that the first host reports to one host, not to two: one second after the start it does not know the third one yet.

Change: process_fleet::Start() ends when each host lists all others as live.

--- a/tests/system/process_fleet.h
+++ b/tests/system/process_fleet.h
@@ -91,6 +91,10 @@
   void WriteNote() const;
   void WriteSettings(std::size_t index) const;
   bool WaitUntilServing(std::size_t index);
+
+  // Waits until the host knows all others: before that a report of a crash does
+  // not reach them all.
+  bool WaitUntilFleetIsKnown(std::size_t index);
   int TargetPortForHosts(std::size_t index) const;
 
   const std::uint64_t seed_;
