Bound the summary of suspected targets by bytes

Cause: read in the diff. A leader named up to 24 targets whatever the length of their ids. Ids may have 256 characters and receivers read 2,048 bytes, so that long ids would have made every summary unreadable.

Change: entries are added up to 1,000 bytes. The reader of datagrams has HasMore() instead of its opposite. AHostLeadsOnlyOnceItKnowsTheOthers looks at hosts that are ready, since a host that is not ready does not lead either and the test had passed for that reason.

Measured: ASummaryOfLongIdsFitsIntoOnePacket fails with the former bound, AHostLeadsOnlyOnceItKnowsTheOthers without the check of the list of hosts.

--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -111,7 +111,7 @@
 
   void MarkFaulty() { is_faulty_ = true; }
 
-  bool IsAtEnd() const { return is_faulty_ || next_ == fields_.size(); }
+  bool HasMore() const { return !is_faulty_ && next_ < fields_.size(); }
 
   bool IsComplete() const { return !is_faulty_ && next_ == fields_.size(); }
 
@@ -169,7 +169,7 @@
     }
     case 8: {
       suspicion_summary body;
-      while (!reader.IsAtEnd()) {
+      while (reader.HasMore()) {
         target_suspicion& target = body.targets.emplace_back();
         target.target_id = reader.Text();
         target.started_at_unix_ms = reader.Signed();
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -18,10 +18,17 @@
 // longer than this is looked into.
 constexpr duration kViewPatience = std::chrono::milliseconds(1000);
 
-// Targets that a leader names to its zone each second, so that the datagram
-// stays below 1 KB, and the least suspicion that keeps requests away.
-constexpr std::size_t kNamedSuspects = 24;
+// Bytes of the datagram in which a leader names suspected targets, so that it
+// fits into one packet of 1,500 bytes with its headers.
+constexpr std::size_t kSummaryBytes = 1000;
+
+// Bytes of an entry besides the target's id: the CBOR heads and two numbers.
+constexpr std::size_t kSuspectBytes = 16;
+
+// The least suspicion that is passed on: that of one refusal, the weakest
+// observation (evidence_options::refusal_weight).
 constexpr double kNamedSuspicion = 0.3;
+
 constexpr double kThousandths = 1000.0;
 
 constexpr duration kLeaveStep = std::chrono::milliseconds(50);
@@ -233,9 +240,14 @@
 
 void edge_daemon::PublishSuspicions() {
   suspicion_summary summary;
+  std::size_t bytes = 0;
   for (const evidence_board::suspected_target& target :
-       state_.evidence().MostSuspected(kNamedSuspects, kNamedSuspicion,
-                                       time_.Now())) {
+       state_.evidence().MostSuspected(kSummaryBytes / kSuspectBytes,
+                                       kNamedSuspicion, time_.Now())) {
+    bytes += target.id.size() + kSuspectBytes;
+    if (bytes > kSummaryBytes) {
+      break;
+    }
     summary.targets.push_back(
         {target.id, target.started_at_unix_ms,
          static_cast<std::uint64_t>(target.suspicion * kThousandths)});
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -1,6 +1,8 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -64,11 +66,11 @@
       sources_.push_back(std::make_unique<recording_source>());
       daemons_[index]->SetViewSource(*sources_[index]);
       EXPECT_TRUE(IsOk(daemons_[index]->Start()));
+      daemons_[index]->ApplyRules(MakeRules(1));
+      daemons_[index]->ReplaceTargets({});
       leads_before_others_are_known_ |= sources_[index]->is_leading;
     }
     for (const std::unique_ptr<edge_daemon>& daemon : daemons_) {
-      daemon->ApplyRules(MakeRules(1));
-      daemon->ReplaceTargets({});
       daemon->AddHosts(entries);
     }
     RunUntil(
@@ -123,37 +125,78 @@
   EXPECT_EQ(differences.back().checks, 1);
 }
 
+// A third host of the zone, of which the test reads and sends the datagrams.
+class SuspicionTest : public ViewCheckTest {
+ protected:
+  SuspicionTest()
+      : socket_(loop_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    socket_.non_blocking(true);
+    const endpoint address{"127.0.0.1", socket_.local_endpoint().port()};
+    const std::vector<host_entry> added{
+        {"host-3", "a", {"127.0.0.1", 1}, address}};
+    daemons_[leader_]->AddHosts(added);
+  }
+
+  void ReportFailureOf(const std::string& target) {
+    const std::string report = EncodePeerDatagram(
+        {"host-3",
+         observation_report{target, 5, target_observation::kFailure}});
+    socket_.send_to(boost::asio::buffer(report),
+                    {boost::asio::ip::make_address("127.0.0.1"),
+                     daemons_[leader_]->self().peer_address.port});
+  }
+
+  // Returns the next summary that the leader sends, or nothing.
+  std::optional<suspicion_summary> ReceiveSummary() {
+    std::optional<suspicion_summary> summary;
+    RunUntil([&] {
+      std::array<char, 65'536> buffer{};
+      boost::system::error_code failure;
+      const std::size_t size =
+          socket_.receive(boost::asio::buffer(buffer), 0, failure);
+      const result<peer_datagram> message =
+          DecodePeerDatagram({buffer.data(), failure ? 0 : size});
+      if (IsOk(message)) {
+        const suspicion_summary* received =
+            std::get_if<suspicion_summary>(&ValueOf(message).body);
+        if (received) {
+          summary = *received;
+          datagram_bytes_ = size;
+        }
+      }
+      return summary.has_value();
+    });
+    return summary;
+  }
+
+  boost::asio::ip::udp::socket socket_;
+  std::size_t datagram_bytes_ = 0;
+};
+
 // Guards against hosts outside the serving set that meet failing targets again
 // and again because no report reaches them: seen on hunt-3568-27 of
 // lfmwl-gateway, where 76 of 90 requests on added routes failed at such hosts.
-TEST_F(ViewCheckTest, ALeaderTellsItsZoneWhichTargetsFail) {
-  boost::asio::ip::udp::socket listener(
-      loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  listener.non_blocking(true);
-  const endpoint address{"127.0.0.1", listener.local_endpoint().port()};
-  const std::vector<host_entry> added{
-      {"host-3", "a", {"127.0.0.1", 1}, address}};
-  daemons_[leader_]->AddHosts(added);
-  const std::string report = EncodePeerDatagram(
-      {"host-3", observation_report{"t", 5, target_observation::kFailure}});
-  listener.send_to(boost::asio::buffer(report),
-                   {boost::asio::ip::make_address("127.0.0.1"),
-                    daemons_[leader_]->self().peer_address.port});
-  bool is_told = false;
-  RunUntil([&] {
-    std::array<char, 2048> buffer{};
-    boost::system::error_code failure;
-    const std::size_t size =
-        listener.receive(boost::asio::buffer(buffer), 0, failure);
-    const result<peer_datagram> message =
-        DecodePeerDatagram({buffer.data(), failure ? 0 : size});
-    const suspicion_summary* summary =
-        IsOk(message) ? std::get_if<suspicion_summary>(&ValueOf(message).body)
-                      : nullptr;
-    is_told = summary && summary->targets[0].target_id == "t";
-    return is_told;
-  });
-  EXPECT_TRUE(is_told);
+TEST_F(SuspicionTest, ALeaderTellsItsZoneWhichTargetsFail) {
+  ReportFailureOf("t");
+  const std::optional<suspicion_summary> summary = ReceiveSummary();
+  ASSERT_TRUE(summary);
+  ASSERT_EQ(summary->targets.size(), 1U);
+  EXPECT_EQ(summary->targets[0].target_id, "t");
+}
+
+// Guards against a summary that its receivers cut off and refuse, because ids
+// may have up to 256 characters.
+TEST_F(SuspicionTest, ASummaryOfLongIdsFitsIntoOnePacket) {
+  constexpr std::size_t kPacketBytes = 1500;
+  constexpr int kTargets = 30;
+  for (int target = 0; target < kTargets; ++target) {
+    ReportFailureOf(std::to_string(target) + std::string(200, 'x'));
+  }
+  loop_.run_for(milliseconds(50));
+  const std::optional<suspicion_summary> summary = ReceiveSummary();
+  ASSERT_TRUE(summary);
+  EXPECT_GE(summary->targets.size(), 2U);
+  EXPECT_LT(datagram_bytes_, kPacketBytes);
 }
 
 TEST_F(ViewCheckTest, AHostThatReadsTheChangeInTimeMakesNoCall) {
