Keep the answer alive that a discovery test iterates

Cause: AHostWithoutAConfigurationGetsNoCallers iterated over a member of a temporary JSON value.

Change: the answer has a name, and the test asserts that it lists hosts, so that an empty answer cannot pass.

Ruled out: the same pattern elsewhere; a search for range loops over a member of a call finds five more places, all of which refer to objects that outlive the loop (ValueOf returns a reference).

--- a/tests/membership/discovery_response_test.cc
+++ b/tests/membership/discovery_response_test.cc
@@ -82,7 +82,9 @@
 TEST_F(DiscoveryResponseTest, AHostWithoutAConfigurationGetsNoCallers) {
   hosts_[0].catalog_version = 0;
   for (const char* zone : {"a", "b", "c"}) {
-    for (const nlohmann::json& host : Ask(zone)["hosts"]) {
+    const nlohmann::json listed = Ask(zone)["hosts"];
+    ASSERT_FALSE(listed.empty());
+    for (const nlohmann::json& host : listed) {
       EXPECT_NE(host["id"], hosts_[0].id);
     }
   }
