--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -45,8 +45,8 @@
   std::chrono::milliseconds step_interval{500};
   // Datagrams get lost, so a host announces itself this number of times. Other
   // zones hear of it only if it serves, and their hosts that do not serve only
-  // once: they use no other host, and a fleet of 150 hosts that tells all of
-  // all sends a third of its bytes between zones for that.
+  // once: they use no other host, and telling all hosts of all would cost
+  // datagrams with the square of the fleet.
   int announcements = 3;
   std::chrono::milliseconds announcement_interval{200};
   // Reports a second that one host sends at most; further ones are dropped,
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -299,8 +299,8 @@
 }
 
 // Guards against bytes between zones that grow with the load: on scale-1 of
-// lfmwl-gateway-grown 6.5 of 10.2 MB were reports, most of them of targets that
-// had no room.
+// lfmwl-gateway-grown 6.5 of 10.2 MB were reports, two thirds of them about
+// targets that had no room or were slow.
 TEST_F(AnnouncementTest, ReportsAboutLoadStayInTheZone) {
   hosts_[0]->agent.Report(
       observation_report{"t", 5, target_observation::kRefused});
--- a/tests/platform/platform_host_test.cc
+++ b/tests/platform/platform_host_test.cc
@@ -97,7 +97,7 @@
 
 // Seen on trouble-1 of lfmwl-gateway-grown: after the kill of all hosts each
 // knew only itself for 1.2 s and named only itself, so that callers met failing
-// targets at 137 hosts, of which most had heard of no failure.
+// targets at 122 hosts, most of which had heard of no failure.
 TEST_F(PlatformHostTest, AHostThatStartsAgainNamesTheServingHostsAtOnce) {
   constexpr std::size_t kServing = 3;
   for (int number = 2; number <= 9; ++number) {
