Stop using targets that announce their departure or ask for a rest

Cause: a target says in its responses that it is leaving (Server-Leaving: 1), and a 503 may carry Retry-After. Hosts read neither: they sent requests to a leaving target until its store entry changed, and kept sending to a target that wanted none. Change: target_signals reads both from any response but a 421. target_registry excludes the incarnation for good, also if its entry is removed and written again; the first host that learns of a departure reports it to the serving hosts, which exclude the target as well and report nothing. rest_schedule keeps a target out of use on this host for the stated time (60 s at most; unreadable values are logged and have no effect). Rests count as exclusions for the floor. If all targets of a service rest, requests are refused at once with a Retry-After that ends with the first rest. A rest is load: it adds no more suspicion than another refusal.

--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -226,6 +226,9 @@
     state_.Disown(ended.target);
     return evaluation.end;
   }
+  state_.HandleSignals(
+      ended.target,
+      ReadTargetSignals(received.response, state_.options().headers));
   const time_point now = state_.time().Now();
   switch (evaluation.end) {
     case attempt_end::kAnswered:
@@ -301,11 +304,7 @@
       Finish(std::move(*error_response_), "answered", "target_error");
       return;
     case next_step::kRefuse:
-      Refuse(
-          tried_target_ids_.empty() ? "no_target" : "targets_refused",
-          std::chrono::milliseconds(
-              kRetryAfterMs + static_cast<std::int64_t>(state_.random().Uniform(
-                                  kRetryAfterSpreadMs))));
+      RefuseWithoutTarget();
       return;
     case next_step::kFail:
       Finish(MakeUnknownOutcomeResponse(kBadGateway, "target_failed"),
@@ -314,6 +313,19 @@
   }
 }
 
+void exchange::RefuseWithoutTarget() {
+  const std::chrono::milliseconds spread(
+      static_cast<std::int64_t>(state_.random().Uniform(kRetryAfterSpreadMs)));
+  const std::optional<time_point> resting_until = state_.RestingUntil(service_);
+  if (resting_until) {
+    Refuse("targets_resting",
+           ToMilliseconds(*resting_until - state_.time().Now()) + spread);
+    return;
+  }
+  Refuse(tried_target_ids_.empty() ? "no_target" : "targets_refused",
+         std::chrono::milliseconds(kRetryAfterMs) + spread);
+}
+
 void exchange::ArmTimer() {
   if (is_finished_) {
     return;
--- a/libraries/gateway/exchange.h
+++ b/libraries/gateway/exchange.h
@@ -78,6 +78,9 @@
   void CancelAttempts();
   void Refuse(std::string_view reason,
               std::optional<std::chrono::milliseconds> retry_after);
+  // Refuses the request because no target took it, and tells the caller when to
+  // retry.
+  void RefuseWithoutTarget();
   void Finish(proxy_response response,
               std::string_view outcome,
               std::string_view reason);
--- a/libraries/gateway/gateway_state.cc
+++ b/libraries/gateway/gateway_state.cc
@@ -42,6 +42,7 @@
       options_(options),
       targets_(options.registry),
       evidence_(options.evidence),
+      rests_(options.max_target_rest),
       chooser_(options.placement, random),
       crashes_(options.crash_guard),
       connections_(loop, time, options.connections) {}
@@ -86,9 +87,10 @@
     std::span<const std::string> excluded_ids) {
   const std::span<const registered_target> usable =
       targets_.UsableTargets(service);
-  const std::optional<std::size_t> chosen = chooser_.Choose(
-      usable, evidence_,
-      {excluded_ids, time_.Now(), is_cautious, IsFailing(service)});
+  const std::optional<std::size_t> chosen =
+      chooser_.Choose(usable, evidence_,
+                      {excluded_ids, time_.Now(), is_cautious,
+                       IsFailing(service), rests_.empty() ? nullptr : &rests_});
   if (!chosen) {
     return std::nullopt;
   }
@@ -126,6 +128,60 @@
   }
 }
 
+bool gateway_state::MarkLeaving(const suspicion_tracker::target_key& target) {
+  if (!targets_.MarkLeaving(target.id, target.started_at_unix_ms)) {
+    return false;
+  }
+  connections_.Drop(target.id);
+  telemetry_.log().Write(log_level::kInfo, "target_leaving",
+                         {{"target", target.id}});
+  return true;
+}
+
+void gateway_state::HandleSignals(const target_entry& target,
+                                  const target_signals& signals) {
+  const suspicion_tracker::target_key key{target.id, target.started_at_unix_ms};
+  if (signals.is_leaving && MarkLeaving(key)) {
+    reporter_.ReportLeaving(key);
+  }
+  if (signals.requested_rest) {
+    rests_.Record(key, *signals.requested_rest, time_.Now());
+    telemetry_.log().Write(log_level::kInfo, "target_rests",
+                           {{"target", target.id},
+                            {"service", target.service},
+                            {"rest_ms", signals.requested_rest->count()}});
+  }
+  if (signals.is_rest_unreadable) {
+    telemetry_.log().Write(
+        log_level::kInfo, "target_rest_unreadable",
+        {{"target", target.id}, {"service", target.service}});
+  }
+}
+
+std::optional<time_point> gateway_state::RestingUntil(
+    std::string_view service) const {
+  if (rests_.empty()) {
+    return std::nullopt;
+  }
+  std::optional<time_point> earliest;
+  for (const registered_target& target : targets_.UsableTargets(service)) {
+    const std::optional<time_point> until = rests_.RestingUntil(
+        {target.entry.id, target.entry.started_at_unix_ms}, time_.Now());
+    if (!until) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(*until), *until);
+  }
+  return earliest;
+}
+
+void gateway_state::Forget() {
+  const time_point now = time_.Now();
+  connections_.CloseExpired();
+  evidence_.Forget(now);
+  rests_.Forget(now);
+}
+
 void gateway_state::Disown(const target_entry& target) {
   targets_.Disown(target.id);
   connections_.Drop(target.id);
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -20,7 +20,9 @@
 #include "libraries/gateway/gateway_telemetry.h"
 #include "libraries/gateway/response_evaluation.h"
 #include "libraries/gateway/target_connection_pool.h"
+#include "libraries/gateway/target_signals.h"
 #include "libraries/placement/outcome_meter.h"
+#include "libraries/placement/rest_schedule.h"
 #include "libraries/placement/suspicion_tracker.h"
 #include "libraries/placement/target_chooser.h"
 #include "libraries/rules/rule_index.h"
@@ -43,6 +45,9 @@
   // target and body.
   virtual void ReportLoss(std::uint64_t fingerprint,
                           std::string_view target_id) = 0;
+
+  // Reports to the other hosts that `target` has announced that it is leaving.
+  virtual void ReportLeaving(const suspicion_tracker::target_key& target) = 0;
 };
 
 struct gateway_options {
@@ -57,6 +62,8 @@
   target_registry_options registry;
   crash_guard_options crash_guard;
   connection_pool_options connections;
+  // Limits the time for which a target can ask this host to send nothing.
+  duration max_target_rest = std::chrono::seconds(60);
 };
 
 // The number of serving hosts and of their zones, and whether this host serves.
@@ -130,6 +137,22 @@
   // instead of sending it to more targets.
   void RecordLoss(std::uint64_t fingerprint, std::string_view target_id);
 
+  // Stops using an incarnation of a target because it has announced that it is
+  // leaving. Returns false if it was already out of use or is unknown.
+  bool MarkLeaving(const suspicion_tracker::target_key& target);
+
+  // Handles what a target stated about itself in a response: stops using a
+  // target that is leaving, which is reported to the other hosts, and sends
+  // nothing to a target while it rests.
+  void HandleSignals(const target_entry& target, const target_signals& signals);
+
+  // Returns the time at which the first target of the service ends its rest, or
+  // nothing if some usable target does not rest or the service has none.
+  std::optional<time_point> RestingUntil(std::string_view service) const;
+
+  // Discards data about targets that has no effect any more.
+  void Forget();
+
   // Stops using a target because another target has its address, and closes the
   // idle connections to it.
   void Disown(const target_entry& target);
@@ -155,6 +178,7 @@
   std::shared_ptr<const rule_index> rules_;
   target_registry targets_;
   suspicion_tracker evidence_;
+  rest_schedule rests_;
   target_chooser chooser_;
   crash_guard crashes_;
   work_classifier durations_;
--- a/libraries/gateway/response_evaluation.h
+++ b/libraries/gateway/response_evaluation.h
@@ -21,6 +21,9 @@
   std::string expected_target;
   // Marks the response to a request that the target did not run.
   std::string not_executed;
+  // Value "1" marks the responses of a target that is leaving: it will stop
+  // soon and should receive no further requests.
+  std::string leaving;
 };
 
 // What a target's response means for its request.
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -121,6 +121,12 @@
   Broadcast(hosts_.OtherHosts(), report);
 }
 
+void peer_agent::Report(const target_leaving_report& report) {
+  if (TryTakeReportToken()) {
+    Broadcast(hosts_.ServingHosts(), report);
+  }
+}
+
 void peer_agent::PublishView(const host_view& view) {
   Broadcast(hosts_.ZoneNeighbours(), view);
 }
@@ -271,6 +277,11 @@
   events_.OnTargetLost(body);
 }
 
+void peer_agent::HandleBody(const std::string&,
+                            const target_leaving_report& body) {
+  events_.OnTargetLeaving(body);
+}
+
 void peer_agent::HandleBody(const std::string&, const host_view& body) {
   events_.OnView(body);
 }
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -30,6 +30,9 @@
   // Another host reports that a target was lost while it ran a request.
   virtual void OnTargetLost(const target_loss_report& report) = 0;
 
+  // Another host reports that a target has announced that it is leaving.
+  virtual void OnTargetLeaving(const target_leaving_report& report) = 0;
+
   // The leader of the zone publishes which versions of the data it has.
   virtual void OnView(const host_view& view) = 0;
 
@@ -92,6 +95,10 @@
   // Notifies all other hosts that a target was lost while it ran a request.
   void Report(const target_loss_report& report);
 
+  // Notifies the serving hosts that a target has announced that it is leaving.
+  // Other hosts learn it from the target list or from the target.
+  void Report(const target_leaving_report& report);
+
   // Sends the hosts of this zone which versions of the data this host has.
   void PublishView(const host_view& view);
 
@@ -111,6 +118,7 @@
   void HandleBody(const std::string& sender, const host_lost_body& body);
   void HandleBody(const std::string& sender, const observation_report& body);
   void HandleBody(const std::string& sender, const target_loss_report& body);
+  void HandleBody(const std::string& sender, const target_leaving_report& body);
   void HandleBody(const std::string& sender, const host_view& body);
   void HandleBody(const std::string& sender, const suspicion_summary& body);
   bool IsFromHost(const peer_datagram& message) const;
--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -49,6 +49,10 @@
     fields.push_back(body.rules_version);
     fields.push_back(body.targets_digest);
   }
+  void operator()(const target_leaving_report& body) const {
+    fields.push_back(body.target_id);
+    fields.push_back(body.started_at_unix_ms);
+  }
   void operator()(const suspicion_summary& body) const {
     for (const target_suspicion& target : body.targets) {
       fields.push_back(target.target_id);
@@ -178,6 +182,12 @@
       }
       return body;
     }
+    case 9: {
+      target_leaving_report body;
+      body.target_id = reader.Text();
+      body.started_at_unix_ms = reader.Signed();
+      return body;
+    }
     default:
       reader.MarkInvalid();
       return leaving_body{};
--- a/libraries/peers/peer_datagram.h
+++ b/libraries/peers/peer_datagram.h
@@ -95,6 +95,14 @@
   bool operator==(const suspicion_summary&) const = default;
 };
 
+// A target has announced in a response to the sender that it is leaving.
+struct target_leaving_report {
+  std::string target_id;
+  std::int64_t started_at_unix_ms = 0;
+
+  bool operator==(const target_leaving_report&) const = default;
+};
+
 using peer_body = std::variant<ping_body,
                                pong_body,
                                hello_body,
@@ -103,7 +111,8 @@
                                observation_report,
                                target_loss_report,
                                host_view,
-                               suspicion_summary>;
+                               suspicion_summary,
+                               target_leaving_report>;
 
 // A datagram between hosts.
 struct peer_datagram {
--- a/libraries/placement/target_chooser.cc
+++ b/libraries/placement/target_chooser.cc
@@ -42,7 +42,12 @@
     const placement_request& request) {
   std::vector<candidate> candidates =
       BuildCandidates(targets, evidence, request);
-  ExcludeSuspected(targets.size(), candidates);
+  const std::size_t resting_count = static_cast<std::size_t>(
+      std::count_if(targets.begin(), targets.end(),
+                    [&request](const registered_target& target) {
+                      return IsResting(target, request);
+                    }));
+  ExcludeSuspected(targets.size(), resting_count, candidates);
   double total = 0.0;
   for (const candidate& entry : candidates) {
     total += entry.weight;
@@ -75,7 +80,8 @@
   for (std::size_t index = 0; index < targets.size(); ++index) {
     const registered_target& target = targets[index];
     if (std::find(request.excluded_ids.begin(), request.excluded_ids.end(),
-                  target.entry.id) != request.excluded_ids.end()) {
+                  target.entry.id) != request.excluded_ids.end() ||
+        IsResting(target, request)) {
       continue;
     }
     candidate added;
@@ -101,11 +107,20 @@
   return candidates;
 }
 
+bool target_chooser::IsResting(const registered_target& target,
+                               const placement_request& request) {
+  return request.rests &&
+         request.rests->RestingUntil(
+             {target.entry.id, target.entry.started_at_unix_ms}, request.now);
+}
+
 void target_chooser::ExcludeSuspected(
     std::size_t target_count,
+    std::size_t resting_count,
     std::vector<candidate>& candidates) const {
-  const std::size_t spare = static_cast<std::size_t>(std::floor(
+  const std::size_t above_floor = static_cast<std::size_t>(std::floor(
       static_cast<double>(target_count) * (1.0 - options_.floor_share) + 1e-9));
+  const std::size_t spare = above_floor - std::min(above_floor, resting_count);
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const candidate& left, const candidate& right) {
                      return left.suspicion < right.suspicion;
--- a/libraries/placement/target_chooser.h
+++ b/libraries/placement/target_chooser.h
@@ -10,6 +10,7 @@
 
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
+#include "libraries/placement/rest_schedule.h"
 #include "libraries/placement/suspicion_tracker.h"
 #include "libraries/targets/target_registry.h"
 
@@ -57,6 +58,8 @@
   bool is_cautious = false;
   // Many recent requests of the service were not served.
   bool is_service_failing = false;
+  // Targets that rest are not chosen. Null if no target rests.
+  const rest_schedule* rests = nullptr;
 };
 
 // The host's zone and its view of the fleet.
@@ -81,7 +84,7 @@
   void SetView(const placement_view& view) { view_ = view; }
 
   // Returns the index of the chosen target in `targets`, or nullopt if
-  // `targets` is empty or the request excludes all of them.
+  // `targets` is empty or each of them rests or is excluded by the request.
   std::optional<std::size_t> Choose(std::span<const registered_target> targets,
                                     const suspicion_tracker& evidence,
                                     const placement_request& request);
@@ -97,8 +100,14 @@
       std::span<const registered_target> targets,
       const suspicion_tracker& evidence,
       const placement_request& request) const;
+  // Excludes the most suspected targets, as far as the floor allows. Resting
+  // targets count as excluded.
   void ExcludeSuspected(std::size_t target_count,
+                        std::size_t resting_count,
                         std::vector<candidate>& candidates) const;
+  // Returns true if the target rests.
+  static bool IsResting(const registered_target& target,
+                        const placement_request& request);
   double SuspicionWeight(double suspicion,
                          const placement_request& request) const;
   double LoadWeight(const registered_target& target,
--- a/libraries/targets/target_registry.cc
+++ b/libraries/targets/target_registry.cc
@@ -37,9 +37,9 @@
 
 target_change target_registry::Apply(const target_entry& entry,
                                      time_point now) {
-  const auto departed = departed_start_times_.find(entry.id);
-  if (departed != departed_start_times_.end() &&
-      entry.started_at_unix_ms < departed->second) {
+  const auto departed = departed_.find(entry.id);
+  if (departed != departed_.end() &&
+      entry.started_at_unix_ms < departed->second.started_at_unix_ms) {
     return {target_change_type::kOutdated, entry.id, entry.service};
   }
   const auto found = records_.find(entry.id);
@@ -48,6 +48,10 @@
     added.entry = entry;
     added.incarnation = next_incarnation_++;
     added.warm_until = now + entry.warm_up_left;
+    added.is_leaving =
+        departed != departed_.end() && departed->second.was_leaving &&
+        departed->second.started_at_unix_ms == entry.started_at_unix_ms &&
+        departed->second.address == entry.address;
     records_.emplace(entry.id, std::move(added));
     Rebuild(entry.service);
     return {entry.is_draining ? target_change_type::kDraining
@@ -70,6 +74,7 @@
   if (is_new_incarnation) {
     known.incarnation = next_incarnation_++;
     known.is_disowned = false;
+    known.is_leaving = false;
   }
   known.entry = entry;
   known.warm_until = now + entry.warm_up_left;
@@ -174,6 +179,22 @@
   Rebuild(found->second.entry.service);
 }
 
+bool target_registry::MarkLeaving(std::string_view id,
+                                  std::int64_t started_at_unix_ms) {
+  const auto found = records_.find(id);
+  if (found == records_.end()) {
+    return false;
+  }
+  record& known = found->second;
+  if (known.is_leaving || known.entry.is_draining ||
+      known.entry.started_at_unix_ms != started_at_unix_ms) {
+    return false;
+  }
+  known.is_leaving = true;
+  Rebuild(known.entry.service);
+  return true;
+}
+
 std::span<const registered_target> target_registry::UsableTargets(
     std::string_view service) const {
   const auto found = usable_.find(service);
@@ -231,7 +252,8 @@
   std::vector<registered_target> targets;
   for (const record_map::value_type& item : records_) {
     if (item.second.entry.service == service &&
-        !item.second.entry.is_draining && !item.second.is_disowned) {
+        !item.second.entry.is_draining && !item.second.is_disowned &&
+        !item.second.is_leaving) {
       targets.push_back(
           {item.second.entry, item.second.incarnation, item.second.warm_until});
     }
@@ -242,10 +264,12 @@
 target_change target_registry::Erase(record_map::iterator position) {
   target_change change{target_change_type::kRemoved, position->first,
                        position->second.entry.service};
-  if (departed_start_times_.size() >= kMaxRemovedIds) {
-    departed_start_times_.clear();
+  if (departed_.size() >= kMaxRemovedIds) {
+    departed_.clear();
   }
-  departed_start_times_[change.id] = position->second.entry.started_at_unix_ms;
+  departed_[change.id] = {position->second.entry.started_at_unix_ms,
+                          position->second.entry.address,
+                          position->second.is_leaving};
   records_.erase(position);
   Rebuild(change.service);
   return change;
--- a/libraries/targets/target_registry.h
+++ b/libraries/targets/target_registry.h
@@ -101,6 +101,12 @@
   // no effect if the target is unknown.
   void Disown(std::string_view id);
 
+  // Excludes an incarnation of a target from new requests because the target
+  // has announced that it is leaving. This also holds for entries of the
+  // incarnation that are applied later. Returns false if the target was already
+  // draining, leaving or unknown, or has another start time.
+  bool MarkLeaving(std::string_view id, std::int64_t started_at_unix_ms);
+
   // Returns the targets of a service that may receive new requests. The span is
   // valid until the next change to the registry.
   std::span<const registered_target> UsableTargets(
@@ -124,6 +130,8 @@
     std::uint64_t incarnation = 0;
     time_point warm_until;
     bool is_disowned = false;
+    // The target has announced in a response that it is leaving.
+    bool is_leaving = false;
     // Set if the target's entry is missing but may still be restored: the time
     // at which the target is removed if it has not been restored.
     std::optional<time_point> held_until;
@@ -145,9 +153,14 @@
 
   target_registry_options options_;
   record_map records_;
-  // Start times of the last known incarnations of removed targets, by id. Used
-  // to reject updates of an earlier incarnation that arrive late.
-  std::map<std::string, std::int64_t, std::less<>> departed_start_times_;
+  // What is kept of the last known incarnation of a removed target.
+  struct departed_target {
+    std::int64_t started_at_unix_ms = 0;
+    endpoint address;
+    bool was_leaving = false;
+  };
+  // By id. Used to reject updates of an earlier incarnation that arrive late.
+  std::map<std::string, departed_target, std::less<>> departed_;
   usable_map usable_;
   std::uint64_t next_incarnation_ = 1;
   bool is_list_unavailable_ = false;
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -201,6 +201,11 @@
   peers_.Report(target_loss_report{fingerprint, std::string(target_id)});
 }
 
+void edge_daemon::ReportLeaving(const suspicion_tracker::target_key& target) {
+  peers_.Report(
+      target_leaving_report{std::string(target.id), target.started_at_unix_ms});
+}
+
 void edge_daemon::OnObservation(const observation_report& report) {
   state_.evidence().RecordRemoteObservation(
       {report.target_id, report.started_at_unix_ms}, report.observation,
@@ -212,6 +217,10 @@
                               time_.Now());
 }
 
+void edge_daemon::OnTargetLeaving(const target_leaving_report& report) {
+  state_.MarkLeaving({report.target_id, report.started_at_unix_ms});
+}
+
 void edge_daemon::OnHostsChanged() {
   state_.SetFleet({.serving_hosts = hosts_.ServingHosts().size(),
                    .zone_count = hosts_.zone_count(),
@@ -352,8 +361,7 @@
 
 void edge_daemon::RunMaintenance() {
   const time_point now = time_.Now();
-  state_.connections().CloseExpired();
-  state_.evidence().Forget(now);
+  state_.Forget();
   for (const target_change& change : state_.targets().Advance(now)) {
     LogTargetChange(change);
   }
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -128,8 +128,10 @@
                          target_observation observation) override;
   void ReportLoss(std::uint64_t fingerprint,
                   std::string_view target_id) override;
+  void ReportLeaving(const suspicion_tracker::target_key& target) override;
   void OnObservation(const observation_report& report) override;
   void OnTargetLost(const target_loss_report& report) override;
+  void OnTargetLeaving(const target_leaving_report& report) override;
   void OnView(const host_view& view) override;
   void OnSuspicions(const suspicion_summary& summary) override;
   void OnHostsChanged() override;
--- a/tests/gateway/response_evaluation_test.cc
+++ b/tests/gateway/response_evaluation_test.cc
@@ -5,8 +5,8 @@
 namespace bulrushshore {
 namespace {
 
-const gateway_header_names kNames{"X-Attempt", "X-Deadline", "X-Signature",
-                                  "X-Expected", "X-Not-Executed"};
+const gateway_header_names kNames{"X-Attempt",  "X-Deadline",     "X-Signature",
+                                  "X-Expected", "X-Not-Executed", "X-Leaving"};
 
 proxy_response MakeResponse(int status,
                             std::initializer_list<http_header> headers) {
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -41,6 +41,9 @@
   void OnTargetLost(const target_loss_report& report) override {
     losses.push_back(report);
   }
+  void OnTargetLeaving(const target_leaving_report& report) override {
+    leaving_targets.push_back(report);
+  }
   void OnView(const host_view& view) override { views.push_back(view); }
   void OnSuspicions(const suspicion_summary& summary) override {
     summaries.push_back(summary);
@@ -55,6 +58,7 @@
   peer_agent agent;
   std::vector<observation_report> observations;
   std::vector<target_loss_report> losses;
+  std::vector<target_leaving_report> leaving_targets;
   std::vector<host_view> views;
   std::vector<suspicion_summary> summaries;
 };
@@ -105,6 +109,7 @@
   hosts_[0]->agent.Report(
       observation_report{"t", 5, target_observation::kFailure});
   hosts_[0]->agent.Report(target_loss_report{9, "t"});
+  hosts_[0]->agent.Report(target_leaving_report{"t", 5});
   hosts_[0]->agent.PublishView({3, 4});
   hosts_[0]->agent.PublishSuspicions({{{"t", 5, 1000}}});
   loop_.run_for(milliseconds(200));
@@ -112,6 +117,8 @@
     ASSERT_EQ(hosts_[index]->observations.size(), 1U);
     EXPECT_EQ(hosts_[index]->observations[0].target_id, "t");
     ASSERT_EQ(hosts_[index]->losses.size(), 1U);
+    ASSERT_EQ(hosts_[index]->leaving_targets.size(), 1U);
+    EXPECT_EQ(hosts_[index]->leaving_targets[0].started_at_unix_ms, 5);
     ASSERT_EQ(hosts_[index]->views.size(), 1U);
     ASSERT_EQ(hosts_[index]->summaries.size(), 1U);
     EXPECT_EQ(hosts_[index]->summaries[0].targets[0].thousandths, 1000U);
--- a/tests/peers/peer_datagram_test.cc
+++ b/tests/peers/peer_datagram_test.cc
@@ -18,6 +18,7 @@
       {"h", target_loss_report{~std::uint64_t{0}, "t"}},
       {"h", host_view{3, ~std::uint64_t{0}}},
       {"h", suspicion_summary{{{"t", -1, 300}, {"u", 5, 4000}}}},
+      {"h", target_leaving_report{"t", 7}},
       {"h", ping_body{7, false}, false}};
 }
 
--- a/tests/placement/target_chooser_test.cc
+++ b/tests/placement/target_chooser_test.cc
@@ -94,6 +94,41 @@
   EXPECT_EQ(Place().size(), 9U);
 }
 
+// Guards against requests to targets that rest, and against excluding suspected
+// targets beside them: together at most 3 of 12 are unused if the rests allow
+// it.
+TEST_F(TargetChooserTest, RestingTargetsCountAsExcluded) {
+  rest_schedule rests(std::chrono::seconds(60));
+  for (const char* id : {"a0", "a1"}) {
+    rests.Record({id, 0}, milliseconds(500), kStart);
+  }
+  for (const char* id : {"a2", "b0", "c0"}) {
+    tracker_.RecordLocalObservation({id, 0}, target_observation::kFailure,
+                                    kStart);
+  }
+  target_chooser chooser({}, random_);
+  std::set<std::string> used;
+  for (int request = 0; request < kRequests; ++request) {
+    const std::optional<std::size_t> chosen =
+        chooser.Choose(targets_, tracker_, {{}, kStart, false, false, &rests});
+    used.insert(targets_[*chosen].entry.id);
+  }
+  EXPECT_EQ(used.size(), 9U);
+  EXPECT_FALSE(used.contains("a0"));
+  EXPECT_FALSE(used.contains("a1"));
+}
+
+// Guards against a choice, or an endless search for one, if all targets rest.
+TEST_F(TargetChooserTest, ChoosesNoTargetIfAllRest) {
+  rest_schedule rests(std::chrono::seconds(60));
+  for (const registered_target& target : targets_) {
+    rests.Record({target.entry.id, 0}, milliseconds(500), kStart);
+  }
+  target_chooser chooser({}, random_);
+  EXPECT_FALSE(
+      chooser.Choose(targets_, tracker_, {{}, kStart, false, false, &rests}));
+}
+
 // Guards against a failing service in which fewer targets than the floor
 // receive requests. Nine targets get 160 requests in two seconds.
 TEST_F(TargetChooserTest, AFailingServiceUsesAllTargetsOfItsFloor) {
--- a/tests/platform/soak/soak_run.cc
+++ b/tests/platform/soak/soak_run.cc
@@ -265,7 +265,7 @@
 }
 
 void soak_run::InjectTargetFault(milliseconds length) {
-  constexpr std::uint64_t kTargetFaults = 6;
+  constexpr std::uint64_t kTargetFaults = 8;
   constexpr std::uint64_t kLinkFaults = 3;
   const std::size_t index = random_.Uniform(targets_.size());
   soak_target* const target = targets_[index].get();
--- a/tests/platform/soak/soak_target.cc
+++ b/tests/platform/soak/soak_target.cc
@@ -17,11 +17,19 @@
 constexpr std::uint64_t kBodyBytes = 3000;
 constexpr double kGreyFailures = 0.7;
 constexpr int kSlots = 6;
+// Seconds of the rest that a resting target asks for.
+constexpr char kRest[] = "0.8";
 
 // Requests must not arrive later than this after the store has accepted that
 // the target leaves; the platform allows 2 s, the rest is this machine's.
 constexpr std::chrono::milliseconds kDrainBound{2300};
 
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
@@ -37,9 +45,7 @@
       id_(std::move(id)),
       service_(std::move(service)),
       zone_(std::move(zone)),
-      born_ms_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
-                   .count()),
+      born_ms_(UnixMilliseconds()),
       server_(around.loop,
               [this](const proxy_request& request) { return Reply(request); }),
       relay_(server_.address()) {
@@ -49,6 +55,15 @@
   Register("ready");
 }
 
+void soak_target::SetFault(target_fault fault) {
+  const target_fault ended = std::exchange(fault_, fault);
+  if (ended == target_fault::kLeaving && !drained_at_) {
+    born_ms_ = UnixMilliseconds();
+    sequence_ = 0;
+    Register("ready");
+  }
+}
+
 void soak_target::Drain() {
   Register("draining");
   drained_at_ = around_.time.Now();
@@ -81,7 +96,15 @@
   response.headers.Add(platform_names::kAttemptIdHeader, id);
   const bool is_meant =
       request.headers.Find(platform_names::kExpectedTargetHeader) == id_;
-  if (!is_meant || fault_ == target_fault::kFull) {
+  if (is_meant && fault_ == target_fault::kResting) {
+    response.headers.Add("Retry-After", kRest);
+  }
+  if (is_meant && fault_ == target_fault::kLeaving) {
+    response.headers.Add(platform_names::kLeavingHeader, "1");
+  }
+  const bool is_refused =
+      fault_ == target_fault::kFull || fault_ == target_fault::kResting;
+  if (!is_meant || is_refused) {
     response.status = is_meant ? kServiceUnavailable : kMisdirected;
     response.headers.Add(platform_names::kNotExecutedHeader, "1");
     return {.bytes = SerializeResponse(response, request.method, false)};
--- a/tests/platform/soak/soak_target.h
+++ b/tests/platform/soak/soak_target.h
@@ -28,6 +28,10 @@
   kHanging,
   // Refuses all requests as not run.
   kFull,
+  // Refuses all requests as not run and asks for a rest.
+  kResting,
+  // Announces in its responses that it is leaving, and goes on serving.
+  kLeaving,
 };
 
 // A target of the soak behind a relay, with its entry in the store. It records
@@ -48,7 +52,9 @@
               std::string service,
               std::string zone);
 
-  void SetFault(target_fault fault) { fault_ = fault; }
+  // Sets how the target behaves. A target that stops to announce its departure
+  // continues as a new incarnation.
+  void SetFault(target_fault fault);
   void SetLink(link_mode mode) { relay_.SetMode(mode); }
 
   // Says in the store that it leaves.
--- a/tests/targets/target_registry_test.cc
+++ b/tests/targets/target_registry_test.cc
@@ -103,6 +103,29 @@
 
 // An outage of the store must not take targets out of use: their entries expire
 // during it although the targets still process requests.
+// Guards against requests to a target that has announced its departure, after
+// its entry was removed and written once more. Entries expire while the list is
+// unavailable, and targets restore them afterwards.
+TEST_F(TargetRegistryTest, LeavingTargetStaysUnusableUntilItRestarts) {
+  registry_.Apply(MakeEntry("t1"), kStart);
+  EXPECT_TRUE(registry_.MarkLeaving("t1", 100));
+  EXPECT_FALSE(registry_.MarkLeaving("t1", 100));
+  EXPECT_FALSE(IsUsable(registry_, "t1"));
+  registry_.Remove("t1", kStart);
+  registry_.Apply(MakeEntry("t1"), kStart);
+  EXPECT_FALSE(IsUsable(registry_, "t1"));
+  registry_.Apply(MakeEntry("t1", 200), kStart);
+  EXPECT_TRUE(IsUsable(registry_, "t1"));
+}
+
+// Guards against a late report about an earlier incarnation.
+TEST_F(TargetRegistryTest, IgnoresThatAnEarlierIncarnationWasLeaving) {
+  registry_.Apply(MakeEntry("t1", 200), kStart);
+  EXPECT_FALSE(registry_.MarkLeaving("t1", 100));
+  EXPECT_FALSE(registry_.MarkLeaving("unknown", 100));
+  EXPECT_TRUE(IsUsable(registry_, "t1"));
+}
+
 TEST_F(TargetRegistryTest, KeepsTargetsWhoseEntriesExpiredTogether) {
   AddFourTargets();
   registry_.OnListUnavailable();
