Give up responses of targets that never end

Cause: the body of one response was limited to 8 MiB, but nothing limited all connections together, so that a few targets that send without end exceed the memory of a host. Interim responses and responses to other requests were passed over without end: the host read them until the deadline and did not count the target as failing. Change: byte_budget limits the bytes of incomplete responses of all connections (48 MiB; 8 MiB each). After 16 interim responses, or 16 responses to other requests, the exchange ends as malformed.

--- a/libraries/event_loop/http_connection.cc
+++ b/libraries/event_loop/http_connection.cc
@@ -12,6 +12,10 @@
 
 namespace asio = boost::asio;
 
+// A peer may send one or two late answers to earlier requests. More of them are
+// a peer that does not stop.
+constexpr int kMaxForeignResponses = 16;
+
 }  // namespace
 
 std::string_view ExchangeFailureName(exchange_failure failure) {
@@ -37,6 +41,10 @@
       options_(settings),
       reader_(settings.max_response_bytes) {}
 
+http_connection::~http_connection() {
+  ReturnBufferedBytes();
+}
+
 void http_connection::Exchange(const proxy_request& request,
                                response_filter is_expected,
                                completion done) {
@@ -44,6 +52,7 @@
   is_busy_ = true;
   is_reusable_ = false;
   idle_lost_ = nullptr;
+  foreign_responses_ = 0;
   is_head_ = request.method == "HEAD";
   outgoing_ = SerializeRequest(request);
   is_expected_ = std::move(is_expected);
@@ -139,9 +148,14 @@
   }
   if (!error) {
     const std::string_view bytes(receive_buffer_.data(), size);
-    if (!TakeExpectedResponse(reader_.Feed(bytes))) {
-      Receive();
+    if (TakeExpectedResponse(reader_.Feed(bytes))) {
+      return;
     }
+    if (!AccountForBufferedBytes()) {
+      Fail(exchange_failure::kMalformedResponse);
+      return;
+    }
+    Receive();
     return;
   }
   const bool is_orderly_end = error == asio::error::eof;
@@ -165,6 +179,10 @@
       Deliver(std::move(received));
       return true;
     }
+    if (++foreign_responses_ > kMaxForeignResponses) {
+      state = response_read_state::kMalformed;
+      break;
+    }
     reader_.Start(is_head_);
     state = reader_.FeedBuffered();
   }
@@ -175,6 +193,26 @@
   return false;
 }
 
+bool http_connection::AccountForBufferedBytes() {
+  if (!options_.buffered_bytes) {
+    return true;
+  }
+  const std::size_t held = reader_.BufferedBytes();
+  if (held <= buffered_bytes_) {
+    options_.buffered_bytes->Return(buffered_bytes_ - held);
+  } else if (!options_.buffered_bytes->TryTake(held - buffered_bytes_)) {
+    return false;
+  }
+  buffered_bytes_ = held;
+  return true;
+}
+
+void http_connection::ReturnBufferedBytes() {
+  if (options_.buffered_bytes) {
+    options_.buffered_bytes->Return(std::exchange(buffered_bytes_, 0));
+  }
+}
+
 void http_connection::Deliver(received_response response) {
   is_reusable_ =
       response.is_keep_alive && !reader_.HasExtraBytes() && !is_sending_;
@@ -191,6 +229,7 @@
 
 void http_connection::Finish(exchange_outcome outcome) {
   is_busy_ = false;
+  ReturnBufferedBytes();
   const completion done = std::exchange(done_, nullptr);
   is_expected_ = nullptr;
   if (!is_reusable_) {
@@ -205,6 +244,7 @@
   idle_lost_ = nullptr;
   is_reusable_ = false;
   is_busy_ = false;
+  ReturnBufferedBytes();
   connect_timer_.cancel();
   socket_error ignored;  // The socket is given up whatever its state.
   socket_.close(ignored);
--- a/libraries/event_loop/http_connection.h
+++ b/libraries/event_loop/http_connection.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "libraries/base/clock.h"
+#include "libraries/event_loop/byte_budget.h"
 #include "libraries/event_loop/socket_options.h"
 #include "libraries/http/http_message.h"
 #include "libraries/http/response_reader.h"
@@ -38,18 +39,25 @@
  public:
   using completion = std::function<void(exchange_outcome)>;
   // Decides whether a response belongs to the present request. Others are
-  // passed over, because a peer may send a second answer to an earlier one.
+  // passed over, because a peer may send a second answer to an earlier one; too
+  // many of them end the exchange as malformed.
   using response_filter = std::function<bool(const proxy_response&)>;
 
   struct options {
     std::chrono::milliseconds connect_timeout{1000};
     std::uint64_t max_response_bytes = std::uint64_t{8} * 1024 * 1024;
     silence_limits silence;
+    // Limits the bytes of incomplete responses of all connections that share
+    // it. Null for no limit but `max_response_bytes`.
+    std::shared_ptr<byte_budget> buffered_bytes;
   };
 
   http_connection(boost::asio::io_context& loop,
                   const endpoint& peer,
                   const options& settings);
+  ~http_connection();
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
 
   // Connects unless connected, sends the request and calls `done` once, unless
   // Close() is called before. Precondition: no exchange is in progress.
@@ -77,6 +85,10 @@
   void Receive();
   void OnReceived(const socket_error& error, std::size_t size);
   bool TakeExpectedResponse(response_read_state state);
+  // Accounts for the bytes that the reader holds. Returns false if they exceed
+  // the budget.
+  bool AccountForBufferedBytes();
+  void ReturnBufferedBytes();
   void Deliver(received_response response);
   void Fail(exchange_failure failure);
   void Finish(exchange_outcome outcome);
@@ -91,6 +103,10 @@
   completion done_;
   std::function<void()> idle_lost_;
   std::array<char, 8192> receive_buffer_{};
+  // Bytes taken from the budget.
+  std::size_t buffered_bytes_ = 0;
+  // Number of responses passed over in the present exchange.
+  int foreign_responses_ = 0;
   bool is_head_ = false;
   bool is_busy_ = false;
   bool is_reusable_ = false;
--- a/libraries/gateway/target_connection_pool.cc
+++ b/libraries/gateway/target_connection_pool.cc
@@ -9,7 +9,10 @@
     boost::asio::io_context& loop,
     const clock& time,
     const connection_pool_options& options)
-    : loop_(loop), time_(time), options_(options) {}
+    : loop_(loop), time_(time), options_(options) {
+  options_.connection.buffered_bytes =
+      std::make_shared<byte_budget>(options.max_buffered_bytes);
+}
 
 target_connection_pool::~target_connection_pool() {
   for (idle_map::value_type& entry : idle_) {
@@ -108,6 +111,10 @@
   return count;
 }
 
+const byte_budget& target_connection_pool::buffered_bytes() const {
+  return *options_.connection.buffered_bytes;
+}
+
 void target_connection_pool::Remove(const std::string& target_id,
                                     const http_connection* connection) {
   const auto found = idle_.find(target_id);
--- a/libraries/gateway/target_connection_pool.h
+++ b/libraries/gateway/target_connection_pool.h
@@ -32,6 +32,10 @@
   // A connection is not reused in the last `keep_alive_margin` before the
   // keep-alive timeout that the target announced ends.
   std::chrono::milliseconds keep_alive_margin{1000};
+  // Maximum number of bytes of responses that all connections together may
+  // buffer. A response that exceeds it is given up. A host has 112 MB or more,
+  // of which it needs less than 20 MB otherwise.
+  std::size_t max_buffered_bytes = std::size_t{48} * 1024 * 1024;
 };
 
 // Keeps idle connections to targets for reuse. All methods are called on the
@@ -65,6 +69,9 @@
 
   std::size_t idle_count() const;
 
+  // Returns the bytes of incomplete responses on all connections.
+  const byte_budget& buffered_bytes() const;
+
  private:
   struct idle_connection {
     std::shared_ptr<http_connection> connection;
--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -18,6 +18,10 @@
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
 constexpr unsigned kFirstFinalStatus = 200;
 
+// A response is preceded by one or two interim responses at most. More of them
+// are a sender that does not stop.
+constexpr int kMaxInterimResponses = 16;
+
 std::string_view ToStringView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -53,6 +57,7 @@
 void response_reader::Start(bool is_head) {
   is_head_ = is_head;
   has_started_ = false;
+  interim_responses_ = 0;
   ResetParser();
 }
 
@@ -85,6 +90,9 @@
       return response_read_state::kMalformed;
     }
     if (IsInterim()) {
+      if (++interim_responses_ > kMaxInterimResponses) {
+        return response_read_state::kMalformed;
+      }
       ResetParser();
       continue;
     }
@@ -98,6 +106,12 @@
   return response_read_state::kIncomplete;
 }
 
+std::size_t response_reader::BufferedBytes() const {
+  const std::size_t body_bytes =
+      state_ ? state_->parser.get().body().size() : 0;
+  return buffer_.size() + body_bytes;
+}
+
 response_read_state response_reader::FinishAtEnd() {
   assert(state_);
   if (!state_->parser.is_header_done()) {
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -33,7 +33,8 @@
   // Prepares for the next response. `is_head` says that it has no body.
   void Start(bool is_head);
 
-  // Takes bytes of the connection. Interim (1xx) responses are passed over.
+  // Takes bytes of the connection. Interim (1xx) responses are passed over; too
+  // many of them count as malformed.
   // Precondition: Start() was called, and no response is complete.
   response_read_state Feed(std::string_view bytes);
 
@@ -50,6 +51,9 @@
   // Returns true if bytes arrived behind the last complete response.
   bool HasExtraBytes() const { return !buffer_.empty(); }
 
+  // Returns the number of bytes of the present response that are held.
+  std::size_t BufferedBytes() const;
+
   // Returns true if a part of the present response has arrived.
   bool HasStarted() const { return has_started_; }
 
@@ -62,6 +66,7 @@
   std::uint64_t max_body_bytes_;
   bool is_head_ = false;
   bool has_started_ = false;
+  int interim_responses_ = 0;
   std::string buffer_;
   std::unique_ptr<parser_state> state_;
 };
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -37,8 +37,10 @@
 // Runs a gateway, its targets and a caller on one event loop.
 class GatewayTest : public testing::Test {
  protected:
-  GatewayTest()
-      : state_(loop_, time_, random_, telemetry_, reporter_, Options()),
+  GatewayTest() : GatewayTest(Options()) {}
+
+  explicit GatewayTest(const gateway_options& options)
+      : state_(loop_, time_, random_, telemetry_, reporter_, options),
         gateway_(state_),
         caller_(loop_) {
     // Lets the system choose a free port and listens on it afterwards. Tests of
--- a/tests/gateway/scripted_target.cc
+++ b/tests/gateway/scripted_target.cc
@@ -103,7 +103,10 @@
   peer->outgoing = reply.bytes;
   asio::async_write(
       peer->socket, asio::buffer(peer->outgoing),
-      [peer, reply](const socket_error&, std::size_t) {
+      [this, peer, reply](const socket_error&, std::size_t) {
+        if (!reply.endless_bytes.empty()) {
+          SendEndlessly(peer, reply.endless_bytes);
+        }
         if (!reply.closes_after) {
           return;
         }
@@ -114,4 +117,16 @@
       });
 }
 
+void scripted_target::SendEndlessly(const std::shared_ptr<connection>& peer,
+                                    const std::string& bytes) {
+  peer->outgoing = bytes;
+  asio::async_write(
+      peer->socket, asio::buffer(peer->outgoing),
+      [this, peer, bytes](const socket_error& error, std::size_t) {
+        if (!error) {
+          SendEndlessly(peer, bytes);
+        }
+      });
+}
+
 }  // namespace bulrushshore
--- a/tests/gateway/scripted_target.h
+++ b/tests/gateway/scripted_target.h
@@ -20,6 +20,9 @@
 struct scripted_reply {
   // Sent unchanged; nothing is sent if empty.
   std::string bytes;
+  // Sent after `bytes` again and again, until the other side closes the
+  // connection; nothing is sent if empty.
+  std::string endless_bytes{};
   std::chrono::milliseconds delay{0};
   bool closes_after = false;
   // Ends the connection with a TCP reset instead of a normal close. Has an
@@ -65,6 +68,9 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<proxy_request> requests_;
   std::vector<std::shared_ptr<connection>> connections_;
+  void SendEndlessly(const std::shared_ptr<connection>& peer,
+                     const std::string& bytes);
+
   int connections_accepted_ = 0;
   int connections_closed_before_reply_ = 0;
 };
