Keep once-only requests and retries away from targets that are known to fail

(1) While a service fails, each suspected target of its floor got 0.3 of a full weight from every request, retries and once-only requests included, and the requests lost there kept the service failing. (2) A target that fails at once has nothing in flight and so looks idle: two of them got 60% of the requests beside four busy targets. Change: (1) floor_keeper leaves the floor to repeatable first attempts if they are a quarter of the requests; retries never use it. (2) The load weight of a suspected target is at most the average of the others. (3) retry_window counts first attempts and retries in a sliding window instead of filling a small bucket, and keeps half of the retries for attempts that failed. The standing of a target is looked up once instead of three times. Result: TargetChooserTest.FailingTargetsDoNotLookIdle failed before (3,623 of 6,000 requests at two failing targets; now below 900).

--- a/libraries/gateway/attempt_plan.cc
+++ b/libraries/gateway/attempt_plan.cc
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-attempt_plan::attempt_plan(const attempt_limits& rules, retry_budget& budget)
-    : rules_(rules), budget_(budget) {}
+attempt_plan::attempt_plan(const attempt_limits& rules, retry_permits& permits)
+    : rules_(rules), permits_(permits) {}
 
 void attempt_plan::OnStart() {
   ++sent_;
@@ -45,7 +45,7 @@
       may_have_run_ = true;
       break;
   }
-  if (MayRetry() && budget_.TryTakeRetry()) {
+  if (MayRetry() && permits_.TryTakeRetry(retry_cause::kFailedAttempt)) {
     return next_step::kTryAnotherTarget;
   }
   return NextStepWithoutRetry();
@@ -53,16 +53,24 @@
 
 bool attempt_plan::TryStartSecondAttempt() {
   return rules_.is_idempotent && in_progress_ == 1 && MayRetry() &&
-         budget_.TryTakeRetry();
+         permits_.TryTakeRetry(retry_cause::kSlowAttempt);
 }
 
 next_step attempt_plan::OnNoTarget() {
   if (sent_ > 0) {
-    budget_.ReturnToken();
+    permits_.ReturnToken();
   }
   return NextStepWithoutRetry();
 }
 
+attempt_role attempt_plan::NextAttemptRole() const {
+  if (sent_ > 0) {
+    return attempt_role::kRetry;
+  }
+  return rules_.is_idempotent ? attempt_role::kRepeatableFirst
+                              : attempt_role::kOnceOnlyFirst;
+}
+
 bool attempt_plan::MayRetry() const {
   return sent_ < rules_.max_attempts && (rules_.is_idempotent || !MayHaveRun());
 }
--- a/libraries/gateway/attempt_plan.h
+++ b/libraries/gateway/attempt_plan.h
@@ -3,8 +3,9 @@
 
 #include <cstdint>
 
-#include "libraries/admission/retry_budget.h"
+#include "libraries/admission/retry_permits.h"
 #include "libraries/base/clock.h"
+#include "libraries/placement/floor_keeper.h"
 
 namespace bulrushshore {
 
@@ -50,8 +51,8 @@
 // a target. Not thread safe.
 class attempt_plan {
  public:
-  // Precondition: `budget` outlives this object.
-  attempt_plan(const attempt_limits& rules, retry_budget& budget);
+  // Precondition: `permits` outlives this object.
+  attempt_plan(const attempt_limits& rules, retry_permits& permits);
 
   // Records the start of an attempt. Precondition: it is the first attempt, or
   // OnEnd() or TryStartSecondAttempt() allowed it.
@@ -71,13 +72,10 @@
   // TryStartSecondAttempt() allowed it.
   next_step OnNoTarget();
 
-  // Returns true if the next attempt must not go to a failing target, because
-  // the request is not idempotent or the attempt is a retry, which uses the
-  // budget and may be the last one. First attempts of idempotent requests may
-  // probe whether a failing target has recovered.
-  bool MustAvoidFailingTargets() const {
-    return !rules_.is_idempotent || sent_ > 0;
-  }
+  // Returns the role of the next attempt. First attempts of idempotent requests
+  // may probe whether a failing target has recovered; the others must avoid
+  // failing targets.
+  attempt_role NextAttemptRole() const;
 
   // Returns true if some target may have run the request.
   bool MayHaveRun() const { return may_have_run_ || in_progress_ > 0; }
@@ -90,7 +88,7 @@
   next_step NextStepWithoutRetry() const;
 
   attempt_limits rules_;
-  retry_budget& budget_;
+  retry_permits& permits_;
   std::uint32_t sent_ = 0;
   std::uint32_t in_progress_ = 0;
   std::uint32_t failed_connections_ = 0;
--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -80,10 +80,10 @@
   if (RefuseIfHeldBack()) {
     return;
   }
-  retry_budget& budget = state_.RetryBudgetOf(service_);
-  budget.RecordFirstAttempt();
+  retry_window& retries = state_.RetriesOf(service_);
+  retries.RecordFirstAttempt();
   plan_.emplace(attempt_limits{route_->is_idempotent, route_->max_attempts},
-                budget);
+                retries);
   SetOverdueTime();
   StartAttempt("first");
 }
@@ -151,7 +151,7 @@
     return;
   }
   const std::optional<registered_target> chosen = state_.ChooseTarget(
-      service_, plan_->MustAvoidFailingTargets(), tried_target_ids_);
+      service_, plan_->NextAttemptRole(), tried_target_ids_);
   if (!chosen) {
     PerformStep(plan_->OnNoTarget());
     return;
@@ -210,6 +210,7 @@
     end = OnFailure(*ended, std::get<exchange_failure>(outcome));
   }
   ended->connection.reset();
+  state_.AdvanceRetries(service_);
   const next_step step = plan_->OnEnd(end);
   if (!is_finished_) {
     PerformStep(is_caller_disconnected_ && step == next_step::kTryAnotherTarget
@@ -377,6 +378,7 @@
   if (is_duration_known_) {
     ReportObservation(overdue, target_observation::kOverdue);
   }
+  state_.AdvanceRetries(service_);
   if (!is_caller_disconnected_ && plan_->TryStartSecondAttempt()) {
     StartAttempt("overdue");
   }
@@ -432,7 +434,8 @@
        .rules_version = rules_ ? rules_->rules().version : 0,
        .elapsed = state_.time().Now() - arrival_});
   if (!service_.empty() && !is_caller_disconnected_) {
-    state_.RecordOutcome(service_, outcome == "answered" && reason.empty());
+    state_.RecordOutcome(service_, IsIdempotent(),
+                         outcome == "answered" && reason.empty());
   }
   const completion done = std::exchange(done_, nullptr);
   if (done) {
--- a/libraries/gateway/gateway_state.cc
+++ b/libraries/gateway/gateway_state.cc
@@ -12,18 +12,8 @@
 // place of others.
 constexpr double kServingShareOfAllowance = 0.7;
 
-// A service is failing if more than this share of its requests is not served.
-// Slightly below one tenth, the share from which the requirements demand that
-// the floor (the share of targets that exclusion leaves in use) holds.
-constexpr double kUnservedShareOfFailingService = 0.08;
-
-// Share of a host's retry allowance that it may accumulate and spend in one
-// burst. The rest is granted evenly over the retry window, so that the sum
-// never exceeds the allowance in any window.
-constexpr double kBurstShareOfAllowance = 0.5;
-
-// Lower limit of a host's retry tokens, and the whole allowance of a host that
-// is not a serving host. Retry budgets start with it.
+// Lower limit of a host's retry allowance, and the whole allowance of a host
+// that is not a serving host.
 constexpr double kMinRetryTokens = 1.0;
 
 }  // namespace
@@ -58,54 +48,60 @@
 void gateway_state::SetFleet(const fleet_state& fleet, std::string_view zone) {
   fleet_ = fleet;
   chooser_.SetView({std::string(zone), fleet.zone_count, fleet.serving_hosts});
-  for (budget_map::value_type& entry : budgets_) {
-    entry.second.SetAllowance(RetryBurst(), RetriesPerSecond());
+  for (retry_map::value_type& entry : retries_) {
+    entry.second.SetAllowance(HostRetryAllowance());
   }
 }
 
-retry_budget& gateway_state::RetryBudgetOf(std::string_view service) {
-  const auto found = budgets_.find(service);
-  if (found != budgets_.end()) {
-    found->second.Advance(time_.Now());
+retry_window& gateway_state::RetriesOf(std::string_view service) {
+  const time_point now = time_.Now();
+  const auto found = retries_.find(service);
+  if (found != retries_.end()) {
+    found->second.Advance(now);
     return found->second;
   }
-  const retry_budget_options options{
-      .tokens_per_first_attempt = options_.retry_ratio,
-      .tokens_per_second = RetriesPerSecond(),
-      .maximum_tokens = RetryBurst(),
-      .initial_tokens = kMinRetryTokens};
-  retry_budget& added =
-      budgets_.emplace(std::string(service), retry_budget(options))
+  const retry_window_options options{.window = options_.retry_window,
+                                     .ratio = options_.retry_ratio,
+                                     .initial_allowance = kMinRetryTokens};
+  retry_window& added =
+      retries_.emplace(std::string(service), retry_window(options, now))
           .first->second;
-  added.Advance(time_.Now());
+  added.SetAllowance(HostRetryAllowance());
   return added;
 }
 
 std::optional<registered_target> gateway_state::ChooseTarget(
     std::string_view service,
-    bool is_cautious,
+    attempt_role role,
     std::span<const std::string> excluded_ids) {
   const std::span<const registered_target> usable =
       targets_.UsableTargets(service);
+  const placement_request request{
+      .excluded_ids = excluded_ids,
+      .now = time_.Now(),
+      .is_cautious = role != attempt_role::kRepeatableFirst,
+      .must_use_floor = MustUseFloor(service, role),
+      .rests = rests_.empty() ? nullptr : &rests_};
   const std::optional<std::size_t> chosen =
-      chooser_.Choose(usable, evidence_,
-                      {excluded_ids, time_.Now(), is_cautious,
-                       IsFailing(service), rests_.empty() ? nullptr : &rests_});
+      chooser_.Choose(usable, evidence_, request);
   if (!chosen) {
     return std::nullopt;
   }
   return usable[*chosen];
 }
 
-void gateway_state::RecordOutcome(std::string_view service, bool is_served) {
-  outcomes_.try_emplace(std::string(service))
-      .first->second.Record(is_served, time_.Now());
+void gateway_state::RecordOutcome(std::string_view service,
+                                  bool is_repeatable,
+                                  bool is_served) {
+  floors_.try_emplace(std::string(service))
+      .first->second.Record(is_repeatable, is_served, time_.Now());
 }
 
-bool gateway_state::IsFailing(std::string_view service) const {
-  const auto found = outcomes_.find(service);
-  return found != outcomes_.end() && found->second.UnservedShare(time_.Now()) >
-                                         kUnservedShareOfFailingService;
+bool gateway_state::MustUseFloor(std::string_view service,
+                                 attempt_role role) const {
+  const auto found = floors_.find(service);
+  return found != floors_.end() &&
+         found->second.MustUseFloor(role, time_.Now());
 }
 
 void gateway_state::Observe(const target_entry& target,
@@ -201,14 +197,4 @@
           static_cast<double>(std::max<std::size_t>(1, fleet_.serving_hosts)));
 }
 
-double gateway_state::RetryBurst() const {
-  return std::max(kMinRetryTokens,
-                  HostRetryAllowance() * kBurstShareOfAllowance);
-}
-
-double gateway_state::RetriesPerSecond() const {
-  return (HostRetryAllowance() - RetryBurst()) /
-         std::chrono::duration<double>(options_.retry_window).count();
-}
-
 }  // namespace bulrushshore
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -13,7 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "libraries/admission/crash_guard.h"
-#include "libraries/admission/retry_budget.h"
+#include "libraries/admission/retry_window.h"
 #include "libraries/admission/work_classifier.h"
 #include "libraries/base/clock.h"
 #include "libraries/base/random_source.h"
@@ -21,7 +21,7 @@
 #include "libraries/gateway/response_evaluation.h"
 #include "libraries/gateway/target_connection_pool.h"
 #include "libraries/gateway/target_signals.h"
-#include "libraries/placement/outcome_meter.h"
+#include "libraries/placement/floor_keeper.h"
 #include "libraries/placement/rest_schedule.h"
 #include "libraries/placement/suspicion_tracker.h"
 #include "libraries/placement/target_chooser.h"
@@ -112,20 +112,25 @@
   const clock& time() const { return time_; }
   const gateway_options& options() const { return options_; }
 
-  // Returns the retry budget of a service, advanced to the current time. The
+  // Returns the retries of a service, advanced to the current time. The
   // reference stays valid as long as this object.
-  retry_budget& RetryBudgetOf(std::string_view service);
+  retry_window& RetriesOf(std::string_view service);
+
+  // Advances the retries of a service to the current time. Must be called
+  // before a retry is taken.
+  void AdvanceRetries(std::string_view service) { RetriesOf(service); }
 
   // Chooses a usable target of the service, or nothing if there is none.
-  // Targets in `excluded_ids` are not chosen. `is_cautious` states that the
-  // choice should avoid targets that may be failing.
+  // Targets in `excluded_ids` are not chosen.
   std::optional<registered_target> ChooseTarget(
       std::string_view service,
-      bool is_cautious,
+      attempt_role role,
       std::span<const std::string> excluded_ids);
 
   // Records whether a request of the service was served.
-  void RecordOutcome(std::string_view service, bool is_served);
+  void RecordOutcome(std::string_view service,
+                     bool is_repeatable,
+                     bool is_served);
 
   // Records an observation of a target on this host. Unsuccessful ones are also
   // reported to the other hosts.
@@ -158,15 +163,12 @@
   void Disown(const target_entry& target);
 
  private:
-  using budget_map = std::map<std::string, retry_budget, std::less<>>;
-  using meter_map = std::map<std::string, outcome_meter, std::less<>>;
+  using retry_map = std::map<std::string, retry_window, std::less<>>;
+  using floor_map = std::map<std::string, floor_keeper, std::less<>>;
 
   // This host's part of the fleet's retry allowance for one service.
   double HostRetryAllowance() const;
-  // The part of it that may be spent at once.
-  double RetryBurst() const;
-  double RetriesPerSecond() const;
-  bool IsFailing(std::string_view service) const;
+  bool MustUseFloor(std::string_view service, attempt_role role) const;
 
   boost::asio::io_context& loop_;
   const clock& time_;
@@ -182,8 +184,8 @@
   target_chooser chooser_;
   crash_guard crashes_;
   work_classifier durations_;
-  budget_map budgets_;
-  meter_map outcomes_;
+  retry_map retries_;
+  floor_map floors_;
   target_connection_pool connections_;
 };
 
--- a/libraries/placement/suspicion_tracker.cc
+++ b/libraries/placement/suspicion_tracker.cc
@@ -145,6 +145,25 @@
          now - *value.succeeded < options_.recent_success_window;
 }
 
+suspicion_tracker::target_standing suspicion_tracker::Standing(
+    const target_key& target,
+    bool is_cautious,
+    time_point now) const {
+  const auto found = records_.find(target.id);
+  if (found == records_.end()) {
+    return {};
+  }
+  const target_record& known = found->second;
+  target_standing standing{.requests_in_flight = known.requests_in_flight};
+  if (known.started_at_unix_ms == target.started_at_unix_ms) {
+    standing.suspicion =
+        is_cautious ? DecayedSuspicion(known, now)
+                    : DecayedSuspicion(known, options_.time_constant, now);
+    standing.has_recent_success = HasRecentSuccess(known, now);
+  }
+  return standing;
+}
+
 void suspicion_tracker::BeginRequest(std::string_view id) {
   ++records_.try_emplace(std::string(id)).first->second.requests_in_flight;
 }
--- a/libraries/placement/suspicion_tracker.h
+++ b/libraries/placement/suspicion_tracker.h
@@ -144,6 +144,21 @@
   // other hosts report do not count.
   bool HasRecentSuccess(const target_key& target, time_point now) const;
 
+  // What the choice of a target depends on.
+  struct target_standing {
+    // With the base time constant if the chooser is not cautious; see
+    // Suspicion() and SuspicionWithBaseDecay().
+    double suspicion = 0.0;
+    bool has_recent_success = false;
+    std::uint32_t requests_in_flight = 0;
+  };
+
+  // Returns the standing of a target with a single look-up, because it is
+  // needed for each target of a service at each request.
+  target_standing Standing(const target_key& target,
+                           bool is_cautious,
+                           time_point now) const;
+
   // BeginRequest() and EndRequest() count the requests of this host that are in
   // flight at the target; InFlightRequests() returns the count.
   void BeginRequest(std::string_view id);
--- a/libraries/placement/target_chooser.cc
+++ b/libraries/placement/target_chooser.cc
@@ -47,6 +47,7 @@
                     [&request](const registered_target& target) {
                       return IsResting(target, request);
                     }));
+  ApplyLoad(candidates);
   ExcludeSuspected(targets.size(), resting_count, candidates);
   double total = 0.0;
   for (const candidate& entry : candidates) {
@@ -88,15 +89,16 @@
     added.index = index;
     const suspicion_tracker::target_key key{target.entry.id,
                                             target.entry.started_at_unix_ms};
-    added.suspicion = request.is_cautious
-                          ? evidence.Suspicion(key, request.now)
-                          : evidence.SuspicionWithBaseDecay(key, request.now);
+    const suspicion_tracker::target_standing standing =
+        evidence.Standing(key, request.is_cautious, request.now);
+    added.suspicion = standing.suspicion;
+    added.load_weight =
+        LoadWeight(standing.requests_in_flight, target.entry.slots);
     added.weight =
         static_cast<double>(target.entry.slots) *
         (target.entry.zone == view_.zone ? zones.local : zones.remote) *
-        LoadWeight(target, evidence) *
         SuspicionWeight(added.suspicion, request);
-    if (request.is_cautious && evidence.HasRecentSuccess(key, request.now)) {
+    if (request.is_cautious && standing.has_recent_success) {
       added.weight *= options_.recent_success_factor;
     }
     if (request.now < target.warm_until) {
@@ -140,19 +142,34 @@
                             ? options_.suspicion_factor
                             : options_.non_cautious_suspicion_factor;
   const double weight = 1.0 / (1.0 + factor * suspicion * suspicion);
-  return request.is_service_failing
-             ? std::max(options_.minimum_share_while_failing, weight)
-             : weight;
+  return request.must_use_floor ? std::max(options_.minimum_floor_share, weight)
+                                : weight;
 }
 
-double target_chooser::LoadWeight(const registered_target& target,
-                                  const suspicion_tracker& evidence) const {
+void target_chooser::ApplyLoad(std::vector<candidate>& candidates) const {
+  double weights = 0.0;
+  double loaded_weights = 0.0;
+  for (const candidate& entry : candidates) {
+    if (entry.suspicion < options_.exclusion_suspicion) {
+      weights += entry.weight;
+      loaded_weights += entry.weight * entry.load_weight;
+    }
+  }
+  const double average = weights > 0.0 ? loaded_weights / weights : 1.0;
+  for (candidate& entry : candidates) {
+    const bool is_suspected = entry.suspicion >= options_.exclusion_suspicion;
+    entry.weight *=
+        is_suspected ? std::min(entry.load_weight, average) : entry.load_weight;
+  }
+}
+
+double target_chooser::LoadWeight(std::uint32_t requests_in_flight,
+                                  std::uint32_t slots) const {
   const double scale = std::min(
       kMaxLoadScale,
       static_cast<double>(std::max<std::size_t>(1, view_.serving_hosts)));
-  const double load =
-      scale * static_cast<double>(evidence.InFlightRequests(target.entry.id)) /
-      static_cast<double>(std::max(1U, target.entry.slots));
+  const double load = scale * static_cast<double>(requests_in_flight) /
+                      static_cast<double>(std::max(1U, slots));
   return 1.0 / (1.0 + load * load);
 }
 
--- a/libraries/placement/target_chooser.h
+++ b/libraries/placement/target_chooser.h
@@ -29,10 +29,9 @@
   // requests detect which targets have recovered, and keep the floor of a
   // service in use while the service fails.
   double non_cautious_suspicion_factor = 8.0;
-  // The lower bound of the weight factor of a suspected target while its
-  // service fails. High load may cause the failures, so each target that the
-  // floor keeps in use must still receive requests.
-  double minimum_share_while_failing = 0.3;
+  // The lower bound of the weight factor of a suspected target for requests
+  // that must use the targets of the floor.
+  double minimum_floor_share = 0.3;
   // Multiplies the weight of a target with a recent success, for cautious
   // requests. This concentrates them on few targets: each target that starts to
   // fail loses at least one request, so fewer targets in use means fewer lost
@@ -56,8 +55,8 @@
   // The request should avoid targets that may be failing, because it cannot be
   // repeated or is itself a repeat.
   bool is_cautious = false;
-  // Many recent requests of the service were not served.
-  bool is_service_failing = false;
+  // The request must also use suspected targets of the floor; see floor_keeper.
+  bool must_use_floor = false;
   // Targets that rest are not chosen. Null if no target rests.
   const rest_schedule* rests = nullptr;
 };
@@ -94,6 +93,8 @@
     std::size_t index = 0;
     double suspicion = 0.0;
     double weight = 0.0;
+    // Decreases from 1 with the number of requests in flight.
+    double load_weight = 1.0;
   };
 
   std::vector<candidate> BuildCandidates(
@@ -108,10 +109,14 @@
   // Returns true if the target rests.
   static bool IsResting(const registered_target& target,
                         const placement_request& request);
+  // Multiplies the weights of the candidates by their load weights. A target
+  // that fails at once has no requests in flight, so the load weight of a
+  // suspected target is limited to the average of the others.
+  void ApplyLoad(std::vector<candidate>& candidates) const;
   double SuspicionWeight(double suspicion,
                          const placement_request& request) const;
-  double LoadWeight(const registered_target& target,
-                    const suspicion_tracker& evidence) const;
+  double LoadWeight(std::uint32_t requests_in_flight,
+                    std::uint32_t slots) const;
 
   target_chooser_options options_;
   placement_view view_;
--- a/tests/gateway/attempt_plan_test.cc
+++ b/tests/gateway/attempt_plan_test.cc
@@ -1,5 +1,7 @@
 #include "libraries/gateway/attempt_plan.h"
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 namespace bulrushshore {
@@ -7,17 +9,35 @@
 
 using std::chrono::milliseconds;
 
+// Starts with one token.
+class counted_permits : public retry_permits {
+ public:
+  bool TryTakeRetry(retry_cause cause) override {
+    last_cause = cause;
+    if (tokens_ < 1.0) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+  }
+  void ReturnToken() override { tokens_ += 1.0; }
+  double tokens() const { return tokens_; }
+
+  std::optional<retry_cause> last_cause;
+
+ private:
+  double tokens_ = 1.0;
+};
+
 class AttemptPlanTest : public testing::Test {
  protected:
   attempt_plan StartPlan(bool is_idempotent, std::uint32_t max_attempts) {
-    attempt_plan plan({is_idempotent, max_attempts}, budget_);
+    attempt_plan plan({is_idempotent, max_attempts}, permits_);
     plan.OnStart();
     return plan;
   }
 
-  retry_budget budget_{{.tokens_per_first_attempt = 0.0,
-                        .maximum_tokens = 10.0,
-                        .initial_tokens = 1.0}};
+  counted_permits permits_;
 };
 
 // Guards against running a request that is not idempotent twice: it is retried
@@ -30,7 +50,7 @@
     EXPECT_TRUE(step == next_step::kFail ||
                 step == next_step::kDeliverErrorResponse);
   }
-  EXPECT_EQ(budget_.tokens(), 1.0);
+  EXPECT_EQ(permits_.tokens(), 1.0);
   attempt_plan refused = StartPlan(false, 3);
   EXPECT_EQ(refused.OnEnd(attempt_end::kNotExecuted),
             next_step::kTryAnotherTarget);
@@ -56,25 +76,36 @@
 // and may be the last attempt.
 TEST_F(AttemptPlanTest,
        OnlyFirstAttemptsOfIdempotentRequestsMayProbeFailingTargets) {
-  attempt_plan plan({true, 3}, budget_);
-  EXPECT_FALSE(plan.MustAvoidFailingTargets());
+  attempt_plan plan({true, 3}, permits_);
+  EXPECT_EQ(plan.NextAttemptRole(), attempt_role::kRepeatableFirst);
   plan.OnStart();
-  EXPECT_TRUE(plan.MustAvoidFailingTargets());
+  EXPECT_EQ(plan.NextAttemptRole(), attempt_role::kRetry);
   EXPECT_EQ(plan.OnEnd(attempt_end::kErrorResponse),
             next_step::kTryAnotherTarget);
-  EXPECT_TRUE(plan.MustAvoidFailingTargets());
+  EXPECT_EQ(plan.NextAttemptRole(), attempt_role::kRetry);
+}
+
+// Guards against slow attempts that use up the retries which failed attempts
+// need.
+TEST_F(AttemptPlanTest, StatesWhyARetryIsNeeded) {
+  attempt_plan plan = StartPlan(true, 3);
+  EXPECT_TRUE(plan.TryStartSecondAttempt());
+  EXPECT_EQ(permits_.last_cause, retry_cause::kSlowAttempt);
+  plan.OnStart();
+  EXPECT_EQ(plan.OnEnd(attempt_end::kUnknown), next_step::kWait);
+  EXPECT_EQ(permits_.last_cause, retry_cause::kFailedAttempt);
 }
 
 // Guards against counting a failed connection as a sent request.
 TEST_F(AttemptPlanTest, AttemptAfterFailedConnectionCountsAsFirst) {
   attempt_plan plan = StartPlan(true, 3);
   EXPECT_EQ(plan.OnEnd(attempt_end::kNotSent), next_step::kTryAnotherTarget);
-  EXPECT_FALSE(plan.MustAvoidFailingTargets());
+  EXPECT_EQ(plan.NextAttemptRole(), attempt_role::kRepeatableFirst);
 }
 
 TEST_F(AttemptPlanTest, NonIdempotentRequestAvoidsFailingTargets) {
-  const attempt_plan plan({false, 1}, budget_);
-  EXPECT_TRUE(plan.MustAvoidFailingTargets());
+  const attempt_plan plan({false, 1}, permits_);
+  EXPECT_EQ(plan.NextAttemptRole(), attempt_role::kOnceOnlyFirst);
 }
 
 // Guards against retries beyond max_attempts, and against taking a token for
@@ -82,7 +113,7 @@
 TEST_F(AttemptPlanTest, MaxAttemptsLimitsRetries) {
   attempt_plan plan = StartPlan(true, 1);
   EXPECT_EQ(plan.OnEnd(attempt_end::kUnknown), next_step::kFail);
-  EXPECT_EQ(budget_.tokens(), 1.0);
+  EXPECT_EQ(permits_.tokens(), 1.0);
 }
 
 // Guards against a refusal, which states that the request has not run, after an
@@ -101,7 +132,7 @@
 TEST_F(AttemptPlanTest, FailedConnectionTakesNoToken) {
   attempt_plan plan = StartPlan(false, 1);
   EXPECT_EQ(plan.OnEnd(attempt_end::kNotSent), next_step::kTryAnotherTarget);
-  EXPECT_EQ(budget_.tokens(), 1.0);
+  EXPECT_EQ(permits_.tokens(), 1.0);
   for (int attempt = 0; attempt < 2; ++attempt) {
     plan.OnStart();
     EXPECT_EQ(plan.OnEnd(attempt_end::kNotSent), next_step::kTryAnotherTarget);
@@ -135,7 +166,7 @@
   EXPECT_EQ(plan.OnEnd(attempt_end::kNotExecuted),
             next_step::kTryAnotherTarget);
   EXPECT_EQ(plan.OnNoTarget(), next_step::kRefuse);
-  EXPECT_EQ(budget_.tokens(), 1.0);
+  EXPECT_EQ(permits_.tokens(), 1.0);
 }
 
 TEST(OverdueAfterTest, LeavesTimeForSecondAttempt) {
--- a/tests/placement/target_chooser_test.cc
+++ b/tests/placement/target_chooser_test.cc
@@ -94,6 +94,38 @@
   EXPECT_EQ(Place().size(), 9U);
 }
 
+// Guards against targets that fail at once and therefore look idle. Four of
+// eight targets fail, and the others have all slots in use. The two failing
+// targets that the floor keeps in use must not get more than their share of
+// 0.3 / (4 + 2 * 0.3) each; they got 60% of the requests.
+TEST_F(TargetChooserTest, FailingTargetsDoNotLookIdle) {
+  targets_.resize(8);
+  for (registered_target& target : targets_) {
+    target.entry.zone = "a";
+    target.entry.slots = 2;
+  }
+  for (std::size_t index = 0; index < 4; ++index) {
+    for (int failure = 0; failure < 4; ++failure) {
+      tracker_.RecordLocalObservation({targets_[index].entry.id, 0},
+                                      target_observation::kFailure, kStart);
+    }
+  }
+  for (std::size_t index = 4; index < 8; ++index) {
+    tracker_.BeginRequest(targets_[index].entry.id);
+    tracker_.BeginRequest(targets_[index].entry.id);
+  }
+  target_chooser chooser({}, random_);
+  chooser.SetView({"a", 1, 9});
+  int failing = 0;
+  for (int request = 0; request < kRequests; ++request) {
+    const std::optional<std::size_t> chosen =
+        chooser.Choose(targets_, tracker_, {{}, kStart, false, true});
+    failing += *chosen < 4 ? 1 : 0;
+  }
+  EXPECT_LT(failing, kRequests * 15 / 100);
+  EXPECT_GT(failing, kRequests * 10 / 100);
+}
+
 // Guards against requests to targets that rest, and against excluding suspected
 // targets beside them: together at most 3 of 12 are unused if the rests allow
 // it.
