Send callers of a zone to two hosts instead of three

Cause: a host judges targets by its own requests and counts only its own requests in flight. Hosts use 0.006 of a core at most, of 0.15. Change: at least two serving hosts per zone (three before), or 6% of the zone's hosts (12.5% before).

--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -30,10 +30,10 @@
   // Number of hosts per zone that callers are sent to. It is small so that each
   // of these hosts sees enough requests to judge targets and to keep its
   // connections in use.
-  std::size_t serving_hosts_per_zone = 3;
+  std::size_t serving_hosts_per_zone = 2;
   // Minimum share of the zone's hosts that callers are sent to, for fleets
   // whose load needs more hosts.
-  double serving_share = 0.125;
+  double serving_share = 0.06;
   // A ping without a pong for this time is repeated once.
   duration ping_timeout = std::chrono::milliseconds(300);
   // A report that a host is lost is ignored if a message of that host arrived
