Take responses without an attempt id on a reused connection as no proof

Cause: a response without an attempt id counted as belonging to the request in progress. A late second copy of a refusal, on a connection in use again, therefore told the host that the new request had not run, and work that must not run twice was sent to a second target. Separately, a 421 counted as an attempt: a host without the target list met two addresses that belonged to other services and refused a request that no target of its service had seen. Change: on a connection that has carried earlier requests, a response without the id proves nothing. A 421 does not count towards the maximum of attempts (four times at most); it still takes a retry token.

--- a/libraries/gateway/attempt_plan.cc
+++ b/libraries/gateway/attempt_plan.cc
@@ -10,6 +10,9 @@
 // takes up to one connect timeout.
 constexpr std::uint32_t kMaxFailedConnections = 4;
 
+// Number of wrong targets that do not count as attempts of a request.
+constexpr std::uint32_t kMaxWrongTargets = 4;
+
 // Shorter durations depend mostly on the network and on CPU scheduling.
 constexpr duration kMinOverdueTime = std::chrono::milliseconds(100);
 
@@ -21,6 +24,7 @@
 void attempt_plan::OnStart() {
   ++sent_;
   ++in_progress_;
+  takes_token_ = false;
 }
 
 next_step attempt_plan::OnEnd(attempt_end end) {
@@ -35,6 +39,15 @@
       return failed_connections_ < kMaxFailedConnections
                  ? next_step::kTryAnotherTarget
                  : NextStepWithoutRetry();
+    case attempt_end::kWrongTarget:
+      // No target of the service has seen the request, so it does not count as
+      // one of the attempts. The other target had to refuse it, so a retry
+      // takes a token like any other.
+      if (wrong_targets_ < kMaxWrongTargets) {
+        ++wrong_targets_;
+        --sent_;
+      }
+      break;
     case attempt_end::kNotExecuted:
       break;
     case attempt_end::kErrorResponse:
@@ -46,19 +59,24 @@
       break;
   }
   if (MayRetry() && permits_.TryTakeRetry(retry_cause::kFailedAttempt)) {
+    takes_token_ = true;
     return next_step::kTryAnotherTarget;
   }
   return NextStepWithoutRetry();
 }
 
 bool attempt_plan::TryStartSecondAttempt() {
-  return rules_.is_idempotent && in_progress_ == 1 && MayRetry() &&
-         permits_.TryTakeRetry(retry_cause::kSlowAttempt);
+  const bool is_allowed = rules_.is_idempotent && in_progress_ == 1 &&
+                          MayRetry() &&
+                          permits_.TryTakeRetry(retry_cause::kSlowAttempt);
+  takes_token_ = takes_token_ || is_allowed;
+  return is_allowed;
 }
 
 next_step attempt_plan::OnNoTarget() {
-  if (sent_ > 0) {
+  if (takes_token_) {
     permits_.ReturnToken();
+    takes_token_ = false;
   }
   return NextStepWithoutRetry();
 }
--- a/libraries/gateway/attempt_plan.h
+++ b/libraries/gateway/attempt_plan.h
@@ -16,6 +16,9 @@
   kErrorResponse,
   // The target stated that it did not run the request.
   kNotExecuted,
+  // The request reached a target of another service or id, which now has the
+  // address and did not run it.
+  kWrongTarget,
   // No connection to the target could be established.
   kNotSent,
   // The request was sent, and it is unknown whether it ran.
@@ -92,6 +95,9 @@
   std::uint32_t sent_ = 0;
   std::uint32_t in_progress_ = 0;
   std::uint32_t failed_connections_ = 0;
+  std::uint32_t wrong_targets_ = 0;
+  // The next attempt has taken a token.
+  bool takes_token_ = false;
   bool may_have_run_ = false;
   bool has_error_response_ = false;
 };
--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -221,9 +221,10 @@
 
 attempt_end exchange::OnResponseReceived(const attempt& ended,
                                          received_response received) {
-  const response_evaluation evaluation = EvaluateResponse(
-      received.response, state_.options().headers, attempt_id_);
-  if (evaluation.is_wrong_target) {
+  const response_evaluation evaluation =
+      EvaluateResponse(received.response, state_.options().headers, attempt_id_,
+                       ended.was_reused);
+  if (evaluation.end == attempt_end::kWrongTarget) {
     state_.Disown(ended.target);
     return evaluation.end;
   }
@@ -250,6 +251,7 @@
     case attempt_end::kNotExecuted:
       ReportObservation(ended, target_observation::kRefused);
       break;
+    case attempt_end::kWrongTarget:
     case attempt_end::kNotSent:
     case attempt_end::kUnknown:
       ReportObservation(ended, target_observation::kInvalidResponse);
--- a/libraries/gateway/response_evaluation.cc
+++ b/libraries/gateway/response_evaluation.cc
@@ -29,11 +29,16 @@
 
 response_evaluation EvaluateResponse(const proxy_response& response,
                                      const gateway_header_names& names,
-                                     std::string_view attempt_id) {
+                                     std::string_view attempt_id,
+                                     bool is_reused) {
   response_evaluation evaluation;
+  if (is_reused && !response.headers.Find(names.attempt_id)) {
+    evaluation.end = attempt_end::kUnknown;
+    evaluation.is_malformed = true;
+    return evaluation;
+  }
   if (response.status == kMisdirectedRequest) {
-    evaluation.end = attempt_end::kNotExecuted;
-    evaluation.is_wrong_target = true;
+    evaluation.end = attempt_end::kWrongTarget;
     return evaluation;
   }
   const bool states_not_executed =
--- a/libraries/gateway/response_evaluation.h
+++ b/libraries/gateway/response_evaluation.h
@@ -29,8 +29,6 @@
 // What a target's response means for its request.
 struct response_evaluation {
   attempt_end end = attempt_end::kAnswered;
-  // Another target now uses the address.
-  bool is_wrong_target = false;
   // The response lacks the proof that the target created it for this attempt.
   bool is_malformed = false;
 };
@@ -45,10 +43,13 @@
 // Evaluates a target's response. A status that implies that the request did not
 // run (408, 429 or 503) is taken as proof of this only with the
 // `not_executed` header, because the caller may then repeat the request. Status
-// 421 is proof without the header. Thread safe.
+// 421 is proof without the header. `is_reused` states that the connection has
+// carried earlier requests: a response without an attempt id may then be a late
+// copy of the response to one of them, and proves nothing. Thread safe.
 response_evaluation EvaluateResponse(const proxy_response& response,
                                      const gateway_header_names& names,
-                                     std::string_view attempt_id);
+                                     std::string_view attempt_id,
+                                     bool is_reused);
 
 }  // namespace bulrushshore
 
--- a/tests/gateway/attempt_plan_test.cc
+++ b/tests/gateway/attempt_plan_test.cc
@@ -96,6 +96,21 @@
   EXPECT_EQ(permits_.last_cause, retry_cause::kFailedAttempt);
 }
 
+// Guards against refusing a request because the addresses of two targets belong
+// to other services now, and against sending it on without end.
+TEST_F(AttemptPlanTest, WrongTargetsDoNotCountAsAttempts) {
+  attempt_plan plan = StartPlan(false, 2);
+  int retries = 0;
+  while (plan.OnEnd(attempt_end::kWrongTarget) ==
+         next_step::kTryAnotherTarget) {
+    ++retries;
+    plan.OnStart();
+    permits_.ReturnToken();
+    ASSERT_LT(retries, 10);
+  }
+  EXPECT_EQ(retries, 5);
+}
+
 // Guards against counting a failed connection as a sent request.
 TEST_F(AttemptPlanTest, AttemptAfterFailedConnectionCountsAsFirst) {
   attempt_plan plan = StartPlan(true, 3);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -110,6 +110,50 @@
   EXPECT_TRUE(state_.targets().UsableTargets("s").empty());
 }
 
+// Guards against refusing a request that no target of its service has seen:
+// while the list is unavailable, several addresses may belong to targets of
+// other services, which respond with 421.
+TEST_F(GatewayTest, WrongTargetsDoNotCountAsAttempts) {
+  ApplyRules();
+  const scripted_target::script misdirected = [](const proxy_request&) {
+    return scripted_reply{.bytes =
+                              "HTTP/1.1 421 \r\nContent-Length: 0\r\n\r\n"};
+  };
+  AddTarget("t1", misdirected);
+  AddTarget("t2", misdirected);
+  AddTarget("t3", misdirected);
+  scripted_target& right = AddTarget("t4", [](const proxy_request& request) {
+    return scripted_target::Success(request);
+  });
+  // Lets the service earn the retries.
+  SendRequest("/pay/x", "0", "POST");
+  EXPECT_FALSE(Receive().empty());
+  RunFor(milliseconds(500));
+  for (int request = 1; request <= 4; ++request) {
+    SendRequest("/pay/x", std::to_string(request), "POST");
+    EXPECT_EQ(Receive()[0].status, 200);
+  }
+  EXPECT_GE(right.requests().size(), 4U);
+}
+
+// Guards against a late second copy of a response that carries no attempt id
+// being taken for the response to the next request on the connection. A refusal
+// would send work that must not run twice to a second target.
+TEST_F(GatewayTest, ResponsesWithoutAnIdOnAReusedConnectionProveNothing) {
+  ApplyRules();
+  int requests = 0;
+  const scripted_target::script reply = [&](const proxy_request& request) {
+    return requests++ == 0 ? scripted_target::Success(request)
+                           : NotExecuted(request);
+  };
+  scripted_target& target = AddTarget("t1", reply);
+  SendRequest("/pay/x", "1", "POST");
+  EXPECT_EQ(Receive()[0].status, 200);
+  SendRequest("/pay/x", "2", "POST");
+  EXPECT_EQ(Receive()[0].status, 502);
+  EXPECT_EQ(target.connections_accepted(), 1);
+}
+
 TEST_F(GatewayTest, NeverDeliversATruncatedResponse) {
   ApplyRules();
   const scripted_target::script truncated = [](const proxy_request& request) {
--- a/tests/gateway/response_evaluation_test.cc
+++ b/tests/gateway/response_evaluation_test.cc
@@ -21,7 +21,7 @@
 TEST(ResponseEvaluationTest, AcceptsSuccessWithSignatureAndAttemptId) {
   const response_evaluation evaluation = EvaluateResponse(
       MakeResponse(200, {{"X-Attempt", "1"}, {"X-Signature", "s"}}), kNames,
-      "1");
+      "1", false);
   EXPECT_EQ(evaluation.end, attempt_end::kAnswered);
 }
 
@@ -32,7 +32,7 @@
        {MakeResponse(200, {{"X-Attempt", "1"}}),
         MakeResponse(200, {{"X-Signature", "s"}})}) {
     const response_evaluation evaluation =
-        EvaluateResponse(response, kNames, "1");
+        EvaluateResponse(response, kNames, "1", false);
     EXPECT_EQ(evaluation.end, attempt_end::kUnknown);
     EXPECT_TRUE(evaluation.is_malformed);
   }
@@ -42,10 +42,11 @@
 // statement of the target: these statuses alone are no proof.
 TEST(ResponseEvaluationTest, NotExecutedStatusRequiresHeader) {
   for (const int status : {408, 429, 503}) {
-    EXPECT_EQ(EvaluateResponse(MakeResponse(status, {}), kNames, "1").end,
-              attempt_end::kUnknown);
+    EXPECT_EQ(
+        EvaluateResponse(MakeResponse(status, {}), kNames, "1", false).end,
+        attempt_end::kUnknown);
     EXPECT_EQ(EvaluateResponse(MakeResponse(status, {{"X-Not-Executed", "1"}}),
-                               kNames, "1")
+                               kNames, "1", false)
                   .end,
               attempt_end::kNotExecuted);
   }
@@ -53,15 +54,30 @@
 
 TEST(ResponseEvaluationTest, MisdirectedRequestHasNotRun) {
   const response_evaluation evaluation =
-      EvaluateResponse(MakeResponse(421, {}), kNames, "1");
-  EXPECT_EQ(evaluation.end, attempt_end::kNotExecuted);
-  EXPECT_TRUE(evaluation.is_wrong_target);
+      EvaluateResponse(MakeResponse(421, {}), kNames, "1", false);
+  EXPECT_EQ(evaluation.end, attempt_end::kWrongTarget);
+}
+
+// Guards against a late response to an earlier request on the connection being
+// taken for the response to this one.
+TEST(ResponseEvaluationTest, AReusedConnectionRequiresTheAttemptId) {
+  const proxy_response refusal = MakeResponse(503, {{"X-Not-Executed", "1"}});
+  EXPECT_EQ(EvaluateResponse(refusal, kNames, "1", true).end,
+            attempt_end::kUnknown);
+  EXPECT_EQ(EvaluateResponse(MakeResponse(500, {}), kNames, "1", true).end,
+            attempt_end::kUnknown);
+  EXPECT_EQ(EvaluateResponse(MakeResponse(421, {}), kNames, "1", true).end,
+            attempt_end::kUnknown);
+  const proxy_response own =
+      MakeResponse(503, {{"X-Not-Executed", "1"}, {"X-Attempt", "1"}});
+  EXPECT_EQ(EvaluateResponse(own, kNames, "1", true).end,
+            attempt_end::kNotExecuted);
 }
 
 TEST(ResponseEvaluationTest, OnlyServerErrorIsErrorResponse) {
-  EXPECT_EQ(EvaluateResponse(MakeResponse(500, {}), kNames, "1").end,
+  EXPECT_EQ(EvaluateResponse(MakeResponse(500, {}), kNames, "1", false).end,
             attempt_end::kErrorResponse);
-  EXPECT_EQ(EvaluateResponse(MakeResponse(404, {}), kNames, "1").end,
+  EXPECT_EQ(EvaluateResponse(MakeResponse(404, {}), kNames, "1", false).end,
             attempt_end::kAnswered);
 }
 
