--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -158,6 +158,10 @@
          !is_leaving_;
 }
 
+std::size_t edge_daemon::usable_target_count() const {
+  return state_.targets().usable_count();
+}
+
 void edge_daemon::UpdateReadiness() {
   if (!hosts_.SetReady(options_.self.id, IsReady())) {
     return;
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -111,6 +111,9 @@
   // of targets, and is not leaving.
   bool IsReady() const;
 
+  // Returns the number of targets that may receive new requests.
+  std::size_t usable_target_count() const;
+
   // Returns where callers of `zone` should connect; empty if no host is ready.
   std::vector<endpoint> AddressesFor(std::string_view zone) const;
 
--- a/stand_ins/platform_store/platform_store.h
+++ b/stand_ins/platform_store/platform_store.h
@@ -40,6 +40,10 @@
   // Responds to every call with status 503 while `is_unavailable` is set.
   void SetOutage(bool is_unavailable) { is_unavailable_ = is_unavailable; }
 
+  // From now on, lists that may be stale show the present objects, without
+  // later changes.
+  void FreezeStaleReads();
+
   // Never responds to the watches that are waiting now.
   void SilenceWatches();
 
@@ -70,7 +74,19 @@
                    const std::string& kind,
                    std::int64_t revision,
                    std::chrono::milliseconds wait);
-  proxy_response List(const std::string& kind, const std::string& after) const;
+  // Objects by kind and name.
+  using object_map =
+      std::map<std::string, std::map<std::string, nlohmann::json>>;
+  // What possibly stale lists are read from.
+  struct stale_state {
+    object_map objects;
+    std::int64_t revision = 0;
+  };
+
+  proxy_response List(const object_map& all,
+                      std::int64_t revision,
+                      const std::string& kind,
+                      const std::string& after) const;
   proxy_response Write(const proxy_request& request,
                        const std::string& kind,
                        const std::string& name);
@@ -85,7 +101,8 @@
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+  object_map objects_;
+  std::optional<stale_state> stale_;
   std::deque<change> history_;
   std::vector<std::shared_ptr<connection>> connections_;
   std::map<std::string, int> calls_;
