Count a response as unanswered until it is sent

Cause: a host that shuts down ended once each response was queued for sending. A response that the caller had read only partly was cut off with the process. Change: UnansweredRequests() also counts a session whose response is still being sent, so the host waits for it within its grace period.

--- a/libraries/gateway/caller_session.h
+++ b/libraries/gateway/caller_session.h
@@ -64,9 +64,12 @@
   // Closes the connection at once, even with requests in flight.
   void Close();
 
-  // Returns the number of started requests whose response is not queued for
-  // sending yet.
-  std::size_t UnansweredRequests() const { return pending_.size(); }
+  // Returns the number of started requests whose response is not sent yet.
+  // Several responses that are being sent together count as one.
+  std::size_t UnansweredRequests() const {
+    const bool is_sending = !outgoing_.empty() || !writing_.empty();
+    return pending_.size() + (is_sending ? 1 : 0);
+  }
 
  private:
   struct pending_request {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -44,7 +44,8 @@
   void CloseIdleSessions();
 
   // Returns the number of requests, over all sessions, that were started and
-  // whose response is not queued for sending yet.
+  // whose response is not sent yet. The responses that one session is sending
+  // count as one.
   std::size_t UnansweredRequests() const;
 
   std::size_t session_count() const { return sessions_.size(); }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -121,7 +121,7 @@
   // connection is closed, for at most two seconds.
   std::vector<proxy_response> Receive(std::size_t count = 1) {
     std::vector<proxy_response> responses;
-    response_reader reader(1'000'000);
+    response_reader reader(std::uint64_t{16} << 20);
     reader.Start(false);
     bool is_finished = false;
     std::function<void()> read_more = [&] {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -330,6 +330,27 @@
   EXPECT_TRUE(Receive().empty());
 }
 
+// Guards against a host that stops while a response is only partly sent. A host
+// that shuts down ends once no request is unanswered, and the rest of the
+// response is lost with the process.
+TEST_F(GatewayTest, AResponseCountsAsUnansweredUntilItIsSent) {
+  constexpr std::size_t kBodyBytes = std::size_t{7} << 20;
+  ApplyRules();
+  AddTarget("t1", [](const proxy_request& request) {
+    return scripted_target::Success(request, std::string(kBodyBytes, 'x'));
+  });
+  // The caller does not read, so most of the response stays with the host.
+  SendRequest("/pay/x", "1", "POST");
+  RunUntil([this] { return caller_.available() > 0; }, milliseconds(2000));
+  gateway_.BeginLeaving();
+  RunFor(milliseconds(100));
+  EXPECT_EQ(gateway_.UnansweredRequests(), 1U);
+  const std::vector<proxy_response> responses = Receive();
+  ASSERT_EQ(responses.size(), 1U);
+  EXPECT_EQ(responses[0].body.size(), kBodyBytes);
+  EXPECT_EQ(gateway_.UnansweredRequests(), 0U);
+}
+
 TEST_F(GatewayTest, RejectsMalformedRequestsAndClosesTheConnection) {
   ApplyRules();
   Send(
