--- a/tests/peers/host_registry_test.cc
+++ b/tests/peers/host_registry_test.cc
@@ -23,6 +23,10 @@
       {"10.0.0.1", 7000}};
 }
 
+// The fleets of these tests are built for three serving hosts per zone.
+constexpr host_registry_options kThreePerZone{.serving_hosts_per_zone = 3,
+                                              .serving_share = 0.125};
+
 class HostRegistryTest : public testing::Test {
  protected:
   HostRegistryTest() {
@@ -65,14 +69,14 @@
   }
 
   seeded_random random_{3};
-  host_registry registry_{MakeHost("a", 1), random_};
+  host_registry registry_{MakeHost("a", 1), random_, kThreePerZone};
   time_point now_ = kStart;
 };
 
 // Guards against hosts that select different serving hosts: each serving host
 // would then see too few requests.
 TEST_F(HostRegistryTest, AllHostsSendCallersToTheSameFewHosts) {
-  host_registry other(MakeHost("b", 7), random_);
+  host_registry other(MakeHost("b", 7), random_, kThreePerZone);
   for (const char* zone : {"c", "b", "a"}) {
     for (int number = kHostsPerZone; number > 0; --number) {
       other.Add(MakeHost(zone, number));
@@ -149,7 +153,7 @@
   std::set<std::string> candidates;
   for (int number = 1; number <= kHostsPerZone; ++number) {
     seeded_random random(1);
-    host_registry own(MakeHost("a", number), random);
+    host_registry own(MakeHost("a", number), random, kThreePerZone);
     for (int other = 1; other <= kHostsPerZone; ++other) {
       own.Add(MakeHost("a", other));
     }
@@ -206,7 +210,7 @@
 TEST_F(HostRegistryTest, EachZoneHasOneLeader) {
   int leaders = 0;
   for (int number = 1; number <= kHostsPerZone; ++number) {
-    host_registry other(MakeHost("c", number), random_);
+    host_registry other(MakeHost("c", number), random_, kThreePerZone);
     for (int added = 1; added <= kHostsPerZone; ++added) {
       other.Add(MakeHost("c", added));
     }
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -17,6 +17,10 @@
 
 using std::chrono::milliseconds;
 
+// The fleets of these tests are built for three serving hosts per zone.
+constexpr host_registry_options kThreePerZone{.serving_hosts_per_zone = 3,
+                                              .serving_share = 0.125};
+
 // A host with its own registry, on the event loop of the test.
 class test_host : public peer_events {
  public:
@@ -26,7 +30,7 @@
             const host_entry& self,
             std::uint64_t seed)
       : random_(seed),
-        hosts(self, random_),
+        hosts(self, random_, kThreePerZone),
         agent(loop,
               time,
               random_,
