Remove queries of the retry window and the suspicion tracker that nothing calls

Cause: since the standing of a target is looked up once, SuspicionWithBaseDecay() and the public HasRecentSuccess() have no caller; Remaining() never had one. Change: they are removed, and their meaning is stated at the fields of target_standing. No behaviour changes.

--- a/libraries/admission/retry_window.cc
+++ b/libraries/admission/retry_window.cc
@@ -66,10 +66,6 @@
   allowance_ = std::min(allowance_, allowance);
 }
 
-double retry_window::Remaining() const {
-  return std::max(0.0, Limit() - static_cast<double>(retries_));
-}
-
 double retry_window::Limit() const {
   return options_.ratio * static_cast<double>(first_attempts_) + allowance_;
 }
--- a/libraries/admission/retry_window.h
+++ b/libraries/admission/retry_window.h
@@ -45,9 +45,6 @@
   // Precondition: `allowance` is 0 or more.
   void SetAllowance(double allowance);
 
-  // Returns the number of retries that may be sent now.
-  double Remaining() const;
-
  private:
   // The attempts within one interval of the window.
   struct interval {
--- a/libraries/placement/suspicion_tracker.cc
+++ b/libraries/placement/suspicion_tracker.cc
@@ -127,18 +127,6 @@
   return known ? DecayedSuspicion(*known, now) : 0.0;
 }
 
-double suspicion_tracker::SuspicionWithBaseDecay(const target_key& target,
-                                                 time_point now) const {
-  const target_record* const known = FindRecord(target);
-  return known ? DecayedSuspicion(*known, options_.time_constant, now) : 0.0;
-}
-
-bool suspicion_tracker::HasRecentSuccess(const target_key& target,
-                                         time_point now) const {
-  const target_record* const known = FindRecord(target);
-  return known && HasRecentSuccess(*known, now);
-}
-
 bool suspicion_tracker::HasRecentSuccess(const target_record& value,
                                          time_point now) const {
   return value.succeeded &&
--- a/libraries/placement/suspicion_tracker.h
+++ b/libraries/placement/suspicion_tracker.h
@@ -134,21 +134,14 @@
   // Returns the suspicion at `now`, which is 0 or more.
   double Suspicion(const target_key& target, time_point now) const;
 
-  // Returns the suspicion decayed with the base time constant, which ignores
-  // the slower decay after recurrences.
-  double SuspicionWithBaseDecay(const target_key& target, time_point now) const;
-
-  // Returns true if this host saw the target succeed within
-  // `recent_success_window` and has since neither observed a failure nor
-  // received a report of a failure or of a suspicion. Connection errors that
-  // other hosts report do not count.
-  bool HasRecentSuccess(const target_key& target, time_point now) const;
-
   // What the choice of a target depends on.
   struct target_standing {
-    // With the base time constant if the chooser is not cautious; see
-    // Suspicion() and SuspicionWithBaseDecay().
+    // Decayed with the base time constant if the chooser is not cautious, which
+    // ignores the slower decay after recurrences.
     double suspicion = 0.0;
+    // This host saw the target succeed within `recent_success_window` and has
+    // since neither observed a failure nor received a report of a failure or of
+    // a suspicion. Connection errors that other hosts report do not count.
     bool has_recent_success = false;
     std::uint32_t requests_in_flight = 0;
   };
