--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,15 +20,15 @@
         hosts = await system.add_hosts(
             {zone: [f"front-{zone}-{n}" for n in (1, 2)] for zone in ZONES}
         )
-        old = await system.add_upstreams("catalogus", ZONES, 0.05)
-        new = await system.add_upstreams("status", ZONES, 0.05)
-        services = ["catalogus", "status"]
+        old = await system.add_upstreams("certificaat-a", ZONES, 0.05)
+        new = await system.add_upstreams("certificaat-b", ZONES, 0.05)
+        services = ["certificaat-a", "certificaat-b"]
 
         def publish(version, service):
-            routes = {"r-1": route(HOST_NAME, "/read/", "safe", service)}
+            routes = {"r-1": route(HOST_NAME, "/cert/", "unsafe", service)}
             system.store.put("config", "main", configuration(version, routes, services))
 
-        publish(3, "catalogus")
+        publish(3, "certificaat-a")
         # The first configuration and the upstreams are there before the hosts
         # start, so that also old reads show them.
         await asyncio.sleep(STALE_S + 0.5)
@@ -69,7 +69,13 @@
             async def ask(host):
                 at = time.monotonic()
                 answer = await ask_once(
-                    record, (host.ip, host.front), "GET", "/read/1", HOST_NAME, 4000
+                    record,
+                    (host.ip, host.front),
+                    "POST",
+                    "/cert/new",
+                    HOST_NAME,
+                    4000,
+                    b"x" * 1200,
                 )
                 sent.append((host, at - acknowledged, answer))
 
@@ -83,7 +89,7 @@
             if cut:
                 system.store.cut.discard(cut.name)
                 record.say(f"{cut.name} reaches the store again")
-            previous = old if service == "status" else new
+            previous = old if service == "certificaat-b" else new
             ran = {attempt for upstream in previous for _, attempt in upstream.runs}
             late = [
                 (host, age)
@@ -101,7 +107,7 @@
             return late
 
         # With its leader in touch, each zone follows in time.
-        late = await change(5, "status", None)
+        late = await change(5, "certificaat-b", None)
         if late:
             raise CannotRun("hosts are late without a disruption")
         await asyncio.sleep(2 * STALE_S)
@@ -110,7 +116,7 @@
         record.say("leaders: " + ", ".join(host.name for host in leaders))
         if len(leaders) != len(ZONES):
             raise CannotRun("there is not one leader in each zone")
-        late = await change(8, "catalogus", leaders[0] if has_trouble() else None)
+        late = await change(8, "certificaat-a", leaders[0] if has_trouble() else None)
         return BROKEN if late else HELD
     finally:
         await system.close()
