End a host with one spoiled answer of a target

An answer with a Content-Length of 16 digits makes the response parser reserve that much memory; std::bad_alloc is caught nowhere and ends the process.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,20 +16,6 @@
 DEPTH = 100_000
 
 
-async def keep_running(record, hosts, ends):
-    """Restarts each process that ends by itself, as the platform does."""
-
-    async def keep(host):
-        while True:
-            code = await host.process.wait()
-            record.say(f"{host.name} ended by itself, exit status {code}")
-            ends.append(host.name)
-            await asyncio.sleep(1.0)
-            await host.start()
-
-    await asyncio.gather(*[keep(host) for host in hosts])
-
-
 async def case(record, work):
     system = System(record, work)
     keeper = None
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,94 +1,89 @@
-"""An entry of another writer, with bytes that can't be read, lies in the store."""
+"""A few upstreams spoil a few of their answers: the length that they state."""
 
 import asyncio
 import os
-import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand_ins"))
 from stand_ins import *  # noqa: E402,F403
 
-RECOVERY_S = 15
-MEASURED_S = 6
+CLIENTS = 8  # To each host that serves callers.
+WORK_S = 0.3
+SPOILED_UPSTREAMS = 3  # Of 12: a share of 0.25.
+SPOILED_ANSWERS = 50  # One in 50: 0.02.
+FOR_S = 5.0
 
 
-async def serve(record, system, seconds):
-    """Lets clients ask for `seconds`; returns the numbers of sent and served."""
-    answers = []
+class SpoilingUpstream(Upstream):
+    """Repeats the digits of Content-Length in one of `SPOILED_ANSWERS` answers."""
 
-    async def client(zone, delay):
-        await asyncio.sleep(delay)
-        near = [host for host in system.hosts if host.zone == zone]
-        far = [host for host in system.hosts if host.zone != zone]
-        for host in (near + far)[:3]:
-            found = await host.resolve(zone)
-            if found:
-                address = random.choice(found)
-                answers.append(
-                    await ask_once(
-                        record, address, "GET", "/status/7", HOST_NAME, 4000
-                    )
-                )
-                return
-        record.write(f"client of {zone}: no host tells where to connect")
-        answers.append(Answer(None, None, False, False))
+    is_spoiling = False
+    answers = 0
 
-    clients = [
-        asyncio.create_task(client(ZONES[n % 3], n * 0.2))
-        for n in range(int(seconds / 0.2))
-    ]
-    await asyncio.gather(*clients)
-    return len(answers), sum(1 for a in answers if a.status == 200 and a.is_whole)
+    async def _run(self, request, reader):
+        answer = await super()._run(request, reader)
+        if not self.is_spoiling or answer is None:
+            return answer
+        self.answers += 1
+        if self.answers % SPOILED_ANSWERS:
+            return answer
+        head, _, body = answer.partition(b"\r\n\r\n")
+        start, _, length = head.rpartition(b"Content-Length: ")
+        self.record.say(
+            f"{self.id} spoils an answer: Content-Length {(length * 8).decode()}"
+        )
+        return start + b"Content-Length: " + length * 8 + b"\r\n\r\n" + body
 
 
 async def case(record, work):
-    system = System(record, work)
+    system = System(record, work, upstream_type=SpoilingUpstream)
+    keeper = None
     try:
-        hosts = await system.start("/status/", "safe", "status", 0.3, 2)
-        sent, served = await serve(record, system, 4)
-        record.say(f"before the final fault: {served} of {sent} served")
-        if served < sent * 0.25:
-            raise CannotRun("the system does not serve")
+        hosts = await system.start("/cert/", "unsafe", "certificaat", WORK_S, 4)
+        ends = []
+        keeper = asyncio.create_task(keep_running(record, hosts, ends))
+        addresses = []
+        for zone in ZONES:
+            addresses += await hosts[0].resolve(zone) or []
+        if not addresses:
+            raise CannotRun("no address to connect to")
+        kept = await open_used_connections(record, addresses * CLIENTS, pay)
+        # Their number of answers starts at different values.
+        faulty = system.upstreams[:SPOILED_UPSTREAMS]
+        for number, upstream in enumerate(faulty):
+            upstream.answers = number * SPOILED_ANSWERS // SPOILED_UPSTREAMS
+            upstream.is_spoiling = has_trouble()
+        end = time.monotonic() + FOR_S
+        answers = []
+
+        async def client(connection):
+            while time.monotonic() < end:
+                try:
+                    answer = await pay(connection)
+                except ConnectionError:
+                    return
+                answers.append(answer)
+                if answer.status is None or answer.closes:
+                    return
 
-        if has_trouble():
-            # The name and the fields of the entry are in order, but for the
-            # zone, whose two bytes are no text: the store, which speaks JSON,
-            # writes them as escapes.
-            system.store.put(
-                "servers",
-                "i-0ther000",
-                {
-                    "service": "status",
-                    "address": "127.0.0.1:9",
-                    "zone": "\udcff\udcfe",
-                    "version": "v1",
-                    "slots": 6,
-                    "state": "ready",
-                    "warmup-left-ms": 0,
-                    "seq": 1,
-                    "born": 1,
-                },
-            )
-            record.say("the store holds an entry of another writer")
-        await asyncio.sleep(2)
-        for host in hosts:
-            host.signal(signal.SIGKILL)
-        await asyncio.gather(*[host.process.wait() for host in hosts])
-        await asyncio.sleep(1)
-        await asyncio.gather(*[host.start() for host in hosts])
-        record.say("all processes were killed and are started again")
-        await asyncio.sleep(RECOVERY_S)
-        sent, served = await serve(record, system, MEASURED_S)
-        ready = sum([await host.is_ready() for host in hosts])
+        await asyncio.gather(*[client(connection) for connection in kept])
+        at_sound = {
+            attempt
+            for upstream in system.upstreams
+            if upstream not in faulty
+            for _, attempt in upstream.runs
+        }
+        lost = [a for a in closed_without_answer(system, answers) if a.attempt in at_sound]
         record.say(
-            f"later than {RECOVERY_S} s after the start: {served} of {sent} served;"
-            f" {ready} of {len(hosts)} hosts ready, {len(system.upstreams)} sound"
-            " upstreams registered"
+            f"{len(answers)} requests on kept connections, {len(lost)} passed on to a sound"
+            f" upstream and closed without an answer; processes ended {len(ends)} times by"
+            " themselves"
         )
-        # RECOVER: less than a quarter is served.
-        return BROKEN if served < sent * 0.25 else HELD
+        # LOST: more than three times.
+        return BROKEN if len(lost) > 3 else HELD
     finally:
+        await cancel(keeper)
         await system.close()
 
 
--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -136,30 +136,21 @@
 class Store:
     """Objects by kind and name, one revision counter, lists and watches.
 
-    Every host reaches the store at an address of its own, so that single hosts
-    can be partitioned from it. Reads with `serializable` are `stale_s` seconds
-    behind.
+    Reads with `serializable` are current, too.
     """
 
-    def __init__(self, record, stale_s=0.0):
-        self.record = record
-        self.stale_s = stale_s
+    def __init__(self):
         self.revision = 1
-        self.history = []  # (revision, time, kind, name, object, deleted)
+        self.history = []  # (revision, kind, name, object, deleted)
         self.objects = {}
-        self.cut = set()
         self.changed = asyncio.Event()
         self.servers = []
         # Texts of values that are too deep for Python's encoder: an entry holds
         # the key, and the bytes on the wire the text.
         self.raw_texts = {}
-        self.stale_watches = {}  # by host and kind: the last watch accepts old data
-
-    async def listen(self, host_name, ip):
-        async def handle(reader, writer):
-            await self._serve(host_name, reader, writer)
 
-        server = await asyncio.start_server(handle, ip, 0, limit=1 << 22)
+    async def listen(self, ip):
+        server = await asyncio.start_server(self._serve, ip, 0, limit=1 << 22)
         self.servers.append(server)
         return "%s:%d" % server.sockets[0].getsockname()[:2]
 
@@ -198,38 +189,25 @@
 
     def _remember(self, kind, name, entry, deleted):
         self.history.append(
-            (self.revision, time.monotonic(), kind, name, copy.deepcopy(entry), deleted)
+            (self.revision, kind, name, copy.deepcopy(entry), deleted)
         )
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _visible(self, is_stale):
-        """Returns the changes that a read sees."""
-        if not is_stale or self.stale_s == 0.0:
-            return self.history
-        limit = time.monotonic() - self.stale_s
-        return [change for change in self.history if change[1] <= limit]
-
-    async def _serve(self, host_name, reader, writer):
+    async def _serve(self, reader, writer):
         try:
             while True:
                 request = await read_message(reader)
                 if request is None:
                     break
-                answer = await self._handle(host_name, request)
-                # A partition is silent: nothing arrives and nothing returns.
-                while host_name in self.cut:
-                    await asyncio.sleep(0.05)
-                    if writer.is_closing() or reader.at_eof():
-                        return
-                writer.write(answer)
+                writer.write(await self._handle(request))
                 await writer.drain()
         except ConnectionError:
             pass
         finally:
             writer.close()
 
-    async def _handle(self, host_name, request):
+    async def _handle(self, request):
         method, target, _ = request.start.split(" ", 2)
         path, _, query_text = target.partition("?")
         query = dict(part.partition("=")[::2] for part in query_text.split("&") if part)
@@ -237,29 +215,17 @@
         if len(parts) < 2 or parts[0] != "objects":
             return self._json(404, {"error": "no such path"})
         kind, name = parts[1], parts[2] if len(parts) > 2 else None
-        if host_name in self.cut:
-            # The call does not reach the store.
-            while host_name in self.cut:
-                await asyncio.sleep(0.05)
-            return self._json(503, {"error": "cut"})
         if method == "GET" and name is None and "watch" in query:
-            return await self._watch(host_name, kind, query)
+            return await self._watch(kind, query)
         if method == "GET" and name is None:
             return self._list(kind, query)
         if method == "GET":
             entry = self.objects.get(kind, {}).get(name)
             return self._json(200, entry) if entry else self._json(404, {"error": "none"})
-        return self._write(host_name, method, kind, name, request, query)
+        return self._write(method, kind, name, request, query)
 
     def _list(self, kind, query):
-        changes = self._visible(query.get("serializable") == "1")
-        objects = {}
-        for _, _, changed_kind, name, entry, deleted in changes:
-            if changed_kind == kind:
-                if deleted:
-                    objects.pop(name, None)
-                else:
-                    objects[name] = entry
+        objects = self.objects.get(kind, {})
         after = query.get("after", "")
         names = sorted(name for name in objects if name > after)
         page = names[:500]
@@ -268,34 +234,29 @@
             {
                 "items": [objects[name] for name in page],
                 "has-more": len(names) > len(page),
-                "as-of": changes[-1][0] if changes else 1,
+                "as-of": self.revision,
             },
         )
 
-    async def _watch(self, host_name, kind, query):
+    async def _watch(self, kind, query):
         since = int(query["watch"])
         wait_s = int(query.get("wait-ms", "0")) / 1000
-        is_stale = query.get("serializable") == "1"
-        self.stale_watches[(host_name, kind)] = is_stale
         end = time.monotonic() + wait_s
         while True:
-            changes = self._visible(is_stale)
             events = [
                 {"object": entry, "deleted": deleted}
-                for revision, _, changed_kind, _, entry, deleted in changes
+                for revision, changed_kind, _, entry, deleted in self.history
                 if changed_kind == kind and revision > since
             ]
             now = time.monotonic()
             if events or now >= end:
-                newest = changes[-1][0] if changes else 1
-                return self._json(200, {"events": events, "as-of": max(since, newest)})
-            pause = min(end - now, 0.05 if is_stale and self.stale_s else 1.0)
+                return self._json(200, {"events": events, "as-of": self.revision})
             try:
-                await asyncio.wait_for(self.changed.wait(), pause)
+                await asyncio.wait_for(self.changed.wait(), end - now)
             except asyncio.TimeoutError:
                 pass
 
-    def _write(self, host_name, method, kind, name, request, query):
+    def _write(self, method, kind, name, request, query):
         body = json.loads(request.body) if request.body else {}
         if method == "POST":
             name = body["metadata"]["name"]
@@ -628,10 +589,11 @@
 class System:
     """A small deployment: three zones of `per_zone` machines each."""
 
-    def __init__(self, record, work, stale_s=0.0):
+    def __init__(self, record, work, upstream_type=Upstream):
         self.record = record
         self.work = work
-        self.store = Store(record, stale_s)
+        self.upstream_type = upstream_type
+        self.store = Store()
         self.hosts = []
         self.upstreams = []
         self.ports = None
@@ -656,7 +618,7 @@
             for name in names:
                 ip = f"127.7.{zone_number}.{self._next_ip}"
                 self._next_ip += 1
-                address = await self.store.listen(name, "127.0.0.1")
+                address = await self.store.listen("127.0.0.1")
                 added.append(
                     Host(self.record, self.work, name, zone, ip, self.ports, address)
                 )
@@ -666,7 +628,9 @@
     async def add_upstreams(self, service, zones, work_s):
         added = []
         for zone in zones:
-            upstream = Upstream(self.record, self.store, service, zone, "127.0.0.1", work_s)
+            upstream = self.upstream_type(
+                self.record, self.store, service, zone, "127.0.0.1", work_s
+            )
             await upstream.start()
             added.append(upstream)
         self.upstreams += added
@@ -833,6 +797,20 @@
     ]
 
 
+async def keep_running(record, hosts, ends):
+    """Restarts each process that ends by itself, as the platform does."""
+
+    async def keep(host):
+        while True:
+            code = await host.process.wait()
+            record.say(f"{host.name} ended by itself, exit status {code}")
+            ends.append(host.name)
+            await asyncio.sleep(1.0)
+            await host.start()
+
+    await asyncio.gather(*[keep(host) for host in hosts])
+
+
 async def cancel(task):
     if task is not None:
         task.cancel()
