Read the objects of the store one by one within limits

Cause: a response of the store was parsed into one value, and each object was copied out of it. The copy constructor of nlohmann::json recurses once a level. The parser takes a text as a whole, so that one value that it cannot represent made all objects unreadable. Ruled out: the parser, which is iterative.

Change: a scanner that does not recurse splits a response into the texts of its objects, and each is parsed on its own within limits of bytes, depth and values. An unreadable object keeps its metadata, so that its deletion and the next page still work, and is logged and counted. This holds for lists, watches and the answer to a registration, for all kinds. Names are escaped in requests to the store, a list that does not advance is an error, and the numbers and texts of entries and configurations have ranges, so that no sum or header is spoiled.

--- a/stand_ins/platform_store/platform_store.cc
+++ b/stand_ins/platform_store/platform_store.cc
@@ -26,6 +26,22 @@
   return response;
 }
 
+// Decodes the escapes of a query value.
+std::string Unescape(std::string_view text) {
+  constexpr std::size_t kEscapeDigits = 2;
+  std::string decoded;
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    if (text[index] != '%' || index + kEscapeDigits >= text.size()) {
+      decoded += text[index];
+      continue;
+    }
+    const std::string digits(text.substr(index + 1, kEscapeDigits));
+    decoded += static_cast<char>(std::strtol(digits.c_str(), nullptr, 16));
+    index += kEscapeDigits;
+  }
+  return decoded;
+}
+
 // The parts of "/objects/KIND/NAME?a=b".
 struct call_target {
   std::string kind;
@@ -50,7 +66,8 @@
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     const std::size_t equals = pair.find('=');
     parsed.query[std::string(pair.substr(0, equals))] =
-        equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+        equals == std::string_view::npos ? ""
+                                         : Unescape(pair.substr(equals + 1));
   }
   return parsed;
 }
@@ -321,7 +338,14 @@
 
 void platform_store_stand_in::SendResponse(
     const std::shared_ptr<connection>& peer,
-    const proxy_response& response) {
+    proxy_response response) {
+  for (const std::map<std::string, std::string>::value_type& raw : raw_texts_) {
+    for (std::size_t found = response.body.find(raw.first);
+         found != std::string::npos;
+         found = response.body.find(raw.first, found + raw.second.size())) {
+      response.body.replace(found, raw.first.size(), raw.second);
+    }
+  }
   peer->outgoing = SerializeResponse(response, "GET", false);
   asio::async_write(peer->socket, asio::buffer(peer->outgoing),
                     [peer](const socket_error&, std::size_t) {});
--- a/stand_ins/platform_store/platform_store.h
+++ b/stand_ins/platform_store/platform_store.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -35,6 +36,12 @@
   void Put(std::string_view kind, std::string_view name, nlohmann::json spec);
   void Remove(std::string_view kind, std::string_view name);
 
+  // Replaces the JSON string `placeholder` by `text` in all responses, so that
+  // an object can hold bytes that are no valid JSON.
+  void SetRawText(const std::string& placeholder, std::string text) {
+    raw_texts_["\"" + placeholder + "\""] = std::move(text);
+  }
+
   bool Has(std::string_view kind, std::string_view name) const;
 
   // Responds to every call with status 503 while `is_unavailable` is set.
@@ -97,11 +104,12 @@
               const nlohmann::json& object,
               bool is_deleted);
   void SendResponse(const std::shared_ptr<connection>& peer,
-                    const proxy_response& response);
+                    proxy_response response);
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   object_map objects_;
+  std::map<std::string, std::string> raw_texts_;
   std::optional<stale_state> stale_;
   std::deque<change> history_;
   std::vector<std::shared_ptr<connection>> connections_;
--- a/tests/platform/decoder_test.cc
+++ b/tests/platform/decoder_test.cc
@@ -77,6 +77,43 @@
     "born":1790000000000}})");
 }
 
+// Guards against numbers whose conversion or sum overflows: a duration that is
+// added to the time of arrival, weights that are added up.
+TEST(ConfigurationDecoderTest, BoundsNumbersThatAreOutOfRange) {
+  json object = MakeConfiguration();
+  object["spec"]["routes"]["r-1"]["timeout-ms"] = 1e300;
+  object["spec"]["routes"]["r-1"]["max-attempts"] = 18446744073709551615U;
+  object["spec"]["limits"]["idle-timeout-ms"] = 9e18;
+  const result<rule_set> decoded = DecodeConfiguration(object);
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded).routes.at("r-1").timeout, std::chrono::hours(24));
+  EXPECT_EQ(ValueOf(decoded).routes.at("r-1").max_attempts, 1U);
+  EXPECT_EQ(ValueOf(decoded).limits.idle_timeout, std::chrono::hours(24));
+  object["spec"]["routes"]["r-2"]["backends"][0]["weight"] = 1e308;
+  EXPECT_FALSE(IsOk(DecodeConfiguration(object)));
+}
+
+// Guards against entries of other writers whose texts end up in a header or a
+// datagram, and whose numbers overflow.
+TEST(TargetDecoderTest, RefusesTextsAndNumbersThatAreOutOfRange) {
+  const std::vector<std::pair<std::string, json>> invalid_fields = {
+      {"service", std::string(300, 's')},
+      {"service", "s\r\nX-Injected: 1"},
+      {"zone", ""},
+      {"zone", "z a"},
+      {"warmup-left-ms", 9'000'000'000'000'000'000},
+      {"warmup-left-ms", 18446744073709551615U},
+      {"seq", 1e300}};
+  for (const std::pair<std::string, json>& field : invalid_fields) {
+    json object = MakeTarget();
+    object["spec"][field.first] = field.second;
+    EXPECT_FALSE(IsOk(DecodeTarget(object))) << field.first << field.second;
+  }
+  json object = MakeTarget();
+  object["metadata"]["name"] = "a\nb";
+  EXPECT_FALSE(IsOk(DecodeTarget(object)));
+}
+
 TEST(TargetDecoderTest, DecodesAnEntry) {
   const result<target_entry> decoded = DecodeTarget(MakeTarget());
   ASSERT_TRUE(IsOk(decoded));
--- a/tests/platform/platform_host_test.cc
+++ b/tests/platform/platform_host_test.cc
@@ -11,6 +11,7 @@
 #include "platform/host_decoder.h"
 #include "platform/names.h"
 #include "stand_ins/platform_store/platform_store.h"
+#include "tests/platform/odd_values.h"
 
 namespace bulrushshore {
 namespace {
@@ -176,6 +177,54 @@
   RunUntil([this] { return store_.calls("write") >= 2; });
 }
 
+json MakeTargetSpec(const json& zone) {
+  return {{"service", "s"},
+          {"address", "127.0.0.1:9"},
+          {"zone", zone},
+          {"version", "1"},
+          {"slots", 2},
+          {"state", "ready"},
+          {"warmup-left-ms", 0},
+          {"seq", 1},
+          {"born", 1}};
+}
+
+class OddObjectTest : public PlatformHostTest,
+                      public testing::WithParamInterface<odd_value> {};
+
+// Guards against one object of another writer that ends every process of the
+// fleet, or leaves no host ready after a restart.
+TEST_P(OddObjectTest, CostsNothingButItselfInAList) {
+  store_.SetRawText("@odd@", GetParam().text);
+  store_.Put(platform_names::kTargetKind, "t0", MakeTargetSpec("@odd@"));
+  store_.Put(platform_names::kTargetKind, "t1", MakeTargetSpec("z-a"));
+  store_.Put(platform_names::kHostKind, "front-0", {{"zone", "@odd@"}});
+  store_.Put(platform_names::kHostKind, "front-1", {{"zone", "@odd@"}});
+  store_.Put(platform_names::kConfigurationKind, "other", {{"x", "@odd@"}});
+  PutConfiguration();
+  Start();
+  RunUntil([this] { return host_->daemon().IsReady(); });
+  EXPECT_EQ(host_->daemon().usable_target_count(), 1U);
+  // Its own entry is replaced.
+  RunUntil([this] { return store_.calls("write") >= 2; });
+}
+
+TEST_P(OddObjectTest, CostsNothingButItselfInAWatch) {
+  PutConfiguration();
+  store_.Put(platform_names::kTargetKind, "t1", MakeTargetSpec("z-a"));
+  Start();
+  RunUntil([this] { return host_->daemon().usable_target_count() == 1; });
+  store_.SetRawText("@odd@", GetParam().text);
+  store_.Put(platform_names::kTargetKind, "t0", MakeTargetSpec("@odd@"));
+  store_.Remove(platform_names::kTargetKind, "t0");
+  store_.Put(platform_names::kConfigurationKind, "other", {{"x", "@odd@"}});
+  store_.Put(platform_names::kTargetKind, "t2", MakeTargetSpec("z-a"));
+  RunUntil([this] { return host_->daemon().usable_target_count() == 2; });
+  EXPECT_TRUE(host_->daemon().IsReady());
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, OddObjectTest, testing::ValuesIn(OddValues()));
+
 TEST_F(PlatformHostTest, RegistersWhenTheStoreIsAvailableAgain) {
   store_.SetOutage(true);
   Start();
--- a/tests/platform/store_watcher_test.cc
+++ b/tests/platform/store_watcher_test.cc
@@ -64,7 +64,8 @@
   seeded_random random_{1};
   bounded_log log_{time_, {.lines_per_second = 0.0, .burst_lines = 0.0}};
   platform_store_stand_in store_{loop_};
-  store_client client_{loop_, store_.address()};
+  metric_registry metrics_;
+  store_client client_{loop_, store_.address(), log_, metrics_};
   store_probe probe_{loop_, client_, "things", random_};
   recording_listener listener_;
   store_watcher watcher_{loop_, client_, probe_, "things", listener_, log_};
@@ -84,6 +85,16 @@
   EXPECT_EQ(listener_.lists, 1);
 }
 
+// Guards against names that change the request to the store for the next page.
+TEST_F(StoreWatcherTest, ContinuesAListAfterAnyName) {
+  store_.SetPageSize(1);
+  for (const char* name : {"a", "b c", "d&watch=1", "e\r\nf", "g%41"}) {
+    store_.Put("things", name, 1);
+  }
+  Start();
+  EXPECT_EQ(listener_.known.size(), 5U);
+}
+
 TEST_F(StoreWatcherTest, ReadsTheListAgainWhenTheHistoryIsGone) {
   Start();
   store_.SilenceWatches();
