Refuse a stated body length over the limit at the header

An answer that stated 41,414,141 bytes was waited for until the deadline.

Cause: the reader left its limit to body_limit() of Boost.Beast.

Change: the parser stops behind the header, and the reader compares the stated length with its limit before the body is read. Bodies of requests and responses take memory for the bytes that have arrived only. On the same path: the timeout in Keep-Alive has a range, as its conversion overflowed, and the headers that Connection lists are removed in one pass.

--- a/libraries/http/http_message.cc
+++ b/libraries/http/http_message.cc
@@ -26,6 +26,12 @@
              : character;
 }
 
+std::string ToLowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), LowerCase);
+  return lower;
+}
+
 std::vector<std::string> SplitList(std::string_view list) {
   std::vector<std::string> elements;
   while (!list.empty()) {
@@ -99,19 +105,23 @@
 }
 
 void RemoveHopByHopHeaders(http_headers& headers) {
-  std::vector<std::string> named;
+  // One pass with sorted names: a sender may list thousands of names.
+  std::vector<std::string> removed;
+  for (const std::string_view name : kConnectionHeaders) {
+    removed.push_back(ToLowerCase(name));
+  }
   for (const http_header& field : headers.fields()) {
     if (EqualsIgnoringCase(field.name, "Connection")) {
-      const std::vector<std::string> elements = SplitList(field.value);
-      named.insert(named.end(), elements.begin(), elements.end());
+      for (const std::string& element : SplitList(field.value)) {
+        removed.push_back(ToLowerCase(element));
+      }
     }
   }
-  for (const std::string& name : named) {
-    headers.Remove(name);
-  }
-  for (const std::string_view name : kConnectionHeaders) {
-    headers.Remove(name);
-  }
+  std::sort(removed.begin(), removed.end());
+  headers.RemoveIf([&removed](const http_header& field) {
+    return std::binary_search(removed.begin(), removed.end(),
+                              ToLowerCase(field.name));
+  });
 }
 
 std::optional<std::uint64_t> ParseDecimal(std::string_view text) {
--- a/libraries/http/http_message.h
+++ b/libraries/http/http_message.h
@@ -28,6 +28,12 @@
 
   void Remove(std::string_view name);
 
+  // Removes the fields for which `is_removed` returns true.
+  template <typename Predicate>
+  void RemoveIf(Predicate is_removed) {
+    std::erase_if(fields_, is_removed);
+  }
+
   // Returns the value of the first field named `name`.
   std::optional<std::string> Find(std::string_view name) const;
 
--- a/libraries/http/request_reader.cc
+++ b/libraries/http/request_reader.cc
@@ -5,7 +5,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+
+#include "libraries/http/growing_body.h"
 
 namespace bulrushshore {
 namespace {
@@ -38,7 +39,7 @@
 }  // namespace
 
 struct request_reader::parser_state {
-  beast_http::request_parser<beast_http::string_body> parser;
+  beast_http::request_parser<growing_body> parser;
   bool is_header_checked = false;
 };
 
@@ -67,7 +68,7 @@
     state_->parser.body_limit(limits_.max_body_bytes);
     has_sent_continue_ = false;
   }
-  beast_http::request_parser<beast_http::string_body>& parser = state_->parser;
+  beast_http::request_parser<growing_body>& parser = state_->parser;
   boost::beast::error_code error;
   const std::size_t used = parser.put(
       boost::asio::const_buffer(buffer_.data(), buffer_.size()), error);
@@ -99,7 +100,7 @@
   }
   received_request received;
   received.is_keep_alive = parser.keep_alive();
-  beast_http::request<beast_http::string_body> message = parser.release();
+  beast_http::request<growing_body> message = parser.release();
   state_.reset();
   wants_continue_ = false;
   received.request.method = std::string(ToStringView(message.method_string()));
--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -1,19 +1,20 @@
 #include "libraries/http/response_reader.h"
 
+#include <algorithm>
 #include <cassert>
 #include <charconv>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+
+#include "libraries/http/growing_body.h"
 
 namespace bulrushshore {
 namespace {
 
 namespace beast_http = boost::beast::http;
-using beast_response_parser =
-    beast_http::response_parser<beast_http::string_body>;
+using beast_response_parser = beast_http::response_parser<growing_body>;
 
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -22,6 +23,10 @@
 // are a sender that does not stop.
 constexpr int kMaxInterimResponses = 16;
 
+// Longest time that a connection is taken to stay open. Keeps sums of durations
+// from overflowing.
+constexpr std::int64_t kMaxKeepAliveSeconds = 86'400;
+
 std::string_view ToStringView(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -37,10 +42,10 @@
   std::int64_t seconds = 0;
   const std::from_chars_result parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (parsed.ec != std::errc()) {
+  if (parsed.ec != std::errc() || seconds < 0) {
     return std::nullopt;
   }
-  return std::chrono::seconds(seconds);
+  return std::chrono::seconds(std::min(seconds, kMaxKeepAliveSeconds));
 }
 
 }  // namespace
@@ -63,7 +68,10 @@
 
 void response_reader::ResetParser() {
   state_ = std::make_unique<parser_state>();
-  state_->parser.eager(true);
+  // The parser stops behind the header, so that the stated length can be
+  // checked before the body is read: in eager mode it goes on after it has
+  // noticed that the length exceeds body_limit().
+  state_->parser.eager(false);
   state_->parser.header_limit(kMaxHeaderBytes);
   state_->parser.body_limit(max_body_bytes_);
   state_->parser.skip(is_head_);
@@ -74,6 +82,11 @@
          state_->parser.get().result_int() < kFirstFinalStatus;
 }
 
+bool response_reader::IsStatedBodyTooLong() const {
+  const boost::optional<std::uint64_t> stated = state_->parser.content_length();
+  return !state_->parser.is_done() && stated && *stated > max_body_bytes_;
+}
+
 response_read_state response_reader::Feed(std::string_view bytes) {
   assert(state_);
   buffer_.append(bytes);
@@ -89,6 +102,12 @@
     if (error) {
       return response_read_state::kMalformed;
     }
+    if (state_->parser.is_header_done()) {
+      if (IsStatedBodyTooLong()) {
+        return response_read_state::kMalformed;
+      }
+      state_->parser.eager(true);
+    }
     if (IsInterim()) {
       if (++interim_responses_ > kMaxInterimResponses) {
         return response_read_state::kMalformed;
@@ -126,8 +145,7 @@
 received_response response_reader::TakeResponse() {
   received_response received;
   received.is_keep_alive = state_->parser.keep_alive();
-  beast_http::response<beast_http::string_body> message =
-      state_->parser.release();
+  beast_http::response<growing_body> message = state_->parser.release();
   state_.reset();
   received.response.status = static_cast<int>(message.result_int());
   for (const beast_http::fields::value_type& field : message.base()) {
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -25,6 +25,7 @@
 // Reads the responses of one connection, one after the other. Not thread safe.
 class response_reader {
  public:
+  // A response with a longer body, stated or received, is malformed.
   explicit response_reader(std::uint64_t max_body_bytes);
   ~response_reader();
   response_reader(const response_reader&) = delete;
@@ -61,6 +62,9 @@
   struct parser_state;
 
   bool IsInterim() const;
+  // Returns true if the header states a body that exceeds the limit.
+  // Precondition: the header was read.
+  bool IsStatedBodyTooLong() const;
   void ResetParser();
 
   std::uint64_t max_body_bytes_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -370,5 +370,56 @@
   EXPECT_FALSE(state_.SetRules(std::make_shared<const rule_set>(older)));
 }
 
+class SpoiledLengthTest : public GatewayTest,
+                          public testing::WithParamInterface<const char*> {};
+
+// Guards against a target whose answer states another length than it has: it
+// ended the host and with it the requests of all other callers, or held its own
+// request until the deadline.
+TEST_P(SpoiledLengthTest, CostsOnlyItsOwnRequest) {
+  ApplyRules(milliseconds(1500));
+  scripted_target& sound = AddTarget("t1", [](const proxy_request& request) {
+    scripted_reply reply = scripted_target::Success(request);
+    reply.delay = milliseconds(200);
+    return reply;
+  });
+  SendRequest("/pay/x", "1", "POST");
+  RunUntil([&] { return !sound.requests().empty(); }, milliseconds(500));
+  state_.targets().Disown("t1");
+  AddTarget("t2", [](const proxy_request&) {
+    return scripted_reply{
+        .bytes =
+            "HTTP/1.1 200 OK\r\nX-Attempt: 2\r\nX-Signature: "
+            "s\r\nContent-Length: " +
+            std::string(GetParam()) +
+            "\r\n\r\nforty-one bytes of a body that is whole.."};
+  });
+  boost::asio::ip::tcp::socket neighbour = std::move(caller_);
+  caller_ = boost::asio::ip::tcp::socket(loop_);
+  const time_point start = time_.Now();
+  SendRequest("/pay/y", "2", "POST");
+  const std::vector<proxy_response> spoiled = Receive();
+  ASSERT_EQ(spoiled.size(), 1U);
+  EXPECT_EQ(spoiled[0].status, 502);
+  EXPECT_LT(time_.Now() - start, milliseconds(500));
+  caller_ = std::move(neighbour);
+  const std::vector<proxy_response> responses = Receive();
+  ASSERT_EQ(responses.size(), 1U);
+  EXPECT_EQ(responses[0].status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(Lengths,
+                         SpoiledLengthTest,
+                         testing::Values("41414141",
+                                         "41414141414",
+                                         "4141414141414141",
+                                         "9223372036854775807",
+                                         "18446744073709551615",
+                                         "41414141414141414141414141",
+                                         "-41",
+                                         "4x1",
+                                         "0x41",
+                                         ""));
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/http/request_reader_test.cc
+++ b/tests/http/request_reader_test.cc
@@ -129,5 +129,18 @@
       std::get<received_request>(outcome).request.headers.Find("Expect"));
 }
 
+// Guards against memory for a length that is stated but not sent: many callers
+// can state the largest body that the limits allow.
+TEST(RequestReaderTest, TakesNoMemoryForBytesThatHaveNotArrived) {
+  constexpr std::uint64_t kLargeLimit = std::uint64_t{1} << 60;
+  request_reader reader({.max_body_bytes = kLargeLimit});
+  reader.Append(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+      "1152921504606846976\r\n\r\n");
+  EXPECT_TRUE(std::holds_alternative<more_bytes_needed>(reader.Next()));
+  reader.Append("the body");
+  EXPECT_TRUE(std::holds_alternative<more_bytes_needed>(reader.Next()));
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/http/response_reader_test.cc
+++ b/tests/http/response_reader_test.cc
@@ -92,6 +92,78 @@
             response_read_state::kMalformed);
 }
 
+// Guards against memory for a length that is stated but not sent: the digits of
+// a length of 41 bytes, repeated, ended the process with std::bad_alloc.
+TEST(ResponseReaderTest, RefusesAStatedLengthOverTheLimitAtTheHeader) {
+  for (const char* length :
+       {"1001", "41414141", "41414141414", "4141414141414141",
+        "9223372036854775807", "18446744073709551615", "18446744073709551616",
+        "99999999999999999999999999"}) {
+    response_reader reader(kMaxBody);
+    reader.Start(false);
+    EXPECT_EQ(reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::string(length) + "\r\n\r\nthe body"),
+              response_read_state::kMalformed)
+        << length;
+    response_reader split(kMaxBody);
+    split.Start(false);
+    split.Feed("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length));
+    EXPECT_EQ(split.Feed("\r\n\r\n"), response_read_state::kMalformed)
+        << length;
+  }
+}
+
+TEST(ResponseReaderTest, TakesNoMemoryForBytesThatHaveNotArrived) {
+  constexpr std::uint64_t kLargeLimit = std::uint64_t{1} << 60;
+  response_reader reader(kLargeLimit);
+  reader.Start(false);
+  EXPECT_EQ(reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: "
+                        "1152921504606846976\r\n\r\nthe body"),
+            response_read_state::kIncomplete);
+  EXPECT_EQ(reader.BufferedBytes(), 8U);
+}
+
+TEST(ResponseReaderTest, RefusesChunksOverTheLimit) {
+  for (const char* size :
+       {"3e9", "ffffffff", "ffffffffffffffff", "fffffffffffffffff"}) {
+    response_reader reader(kMaxBody);
+    reader.Start(false);
+    EXPECT_EQ(reader.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                          "\r\n\r\n" +
+                          std::string(size) + "\r\n"),
+              response_read_state::kMalformed)
+        << size;
+  }
+}
+
+TEST(ResponseReaderTest, BoundsTheKeepAliveTimeout) {
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  response_reader reader(kMaxBody);
+  reader.Start(false);
+  reader.Feed(start + "Keep-Alive: timeout=9223372036854775807\r\n\r\n");
+  EXPECT_EQ(reader.TakeResponse().keep_alive_timeout, std::chrono::hours(24));
+  reader.Start(false);
+  reader.Feed(start + "Keep-Alive: timeout=-5\r\n\r\n");
+  EXPECT_EQ(reader.TakeResponse().keep_alive_timeout, std::nullopt);
+}
+
+// A sender may list thousands of names in Connection, which is compared with
+// thousands of header fields.
+TEST(ResponseReaderTest, RemovesManyListedHeadersInOnePass) {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: ";
+  for (int name = 0; name < 4000; ++name) {
+    head += "x" + std::to_string(name % 1000) + ",";
+  }
+  head += "\r\n";
+  for (int name = 0; name < 3000; ++name) {
+    head += "X" + std::to_string(name) + ":\r\n";
+  }
+  response_reader reader(kMaxBody);
+  reader.Start(false);
+  ASSERT_EQ(reader.Feed(head + "\r\n"), response_read_state::kComplete);
+  EXPECT_EQ(reader.TakeResponse().response.headers.fields().size(), 2000U);
+}
+
 TEST(ResponseReaderTest, AResponseToHeadHasNoBody) {
   response_reader reader(kMaxBody);
   reader.Start(true);
