Serve a read request before a leaving host closes its connection

Cause: QueueReadyResponses() took a response for the last one when no started request was left, without regard to the deferred one, which OnResponseReady() started right after.

Change: the deferred request counts when a leaving host chooses its last response, so that it is served, or refused once the host refuses requests. A session that has queued its last response starts no other request.

--- a/libraries/gateway/caller_session.cc
+++ b/libraries/gateway/caller_session.cc
@@ -207,13 +207,26 @@
   if (is_closed_) {
     return;
   }
-  if (deferred_request_ && MayStart(*deferred_request_)) {
+  StartDeferredRequest();
+  ReadRequests();
+  WaitForBytes();
+}
+
+void caller_session::StartDeferredRequest() {
+  if (!deferred_request_) {
+    return;
+  }
+  if (is_last_response_queued_) {
+    // The caller sends it again: what follows the response that closes the
+    // connection counts as not read.
+    deferred_request_.reset();
+    return;
+  }
+  if (MayStart(*deferred_request_)) {
     received_request next = std::move(*deferred_request_);
     deferred_request_.reset();
     StartRequest(std::move(next));
   }
-  ReadRequests();
-  WaitForBytes();
 }
 
 void caller_session::QueueReadyResponses() {
@@ -223,8 +236,11 @@
     if (is_last_response_queued_) {
       continue;
     }
+    // A leaving host closes the connection behind the last request that it has
+    // read, which may be the deferred one.
+    const bool is_last = pending_.empty() && !deferred_request_;
     entry->closes_connection =
-        entry->closes_connection || (owner_.IsLeaving() && pending_.empty());
+        entry->closes_connection || (owner_.IsLeaving() && is_last);
     outgoing_ += SerializeResponse(*entry->response, entry->method,
                                    entry->closes_connection);
     if (entry->closes_connection) {
--- a/libraries/gateway/caller_session.h
+++ b/libraries/gateway/caller_session.h
@@ -44,7 +44,8 @@
 
 // One HTTP/1.1 connection of a caller. Pipelined requests run concurrently if
 // all of them use safe methods; otherwise they run one after another. Responses
-// are sent in the order of the requests. All methods are called on the event
+// are sent in the order of the requests, and no request is passed on behind the
+// response that closes the connection. All methods are called on the event
 // loop's thread. Not thread safe.
 class caller_session : public std::enable_shared_from_this<caller_session> {
  public:
@@ -89,6 +90,7 @@
   void ParseAndStartRequests();
   bool MayStart(const received_request& next) const;
   void StartRequest(received_request received);
+  void StartDeferredRequest();
   void RejectRequest(const request_fault& fault);
   void OnResponseReady(const std::shared_ptr<pending_request>& request,
                        proxy_response response);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -330,6 +332,93 @@
   EXPECT_TRUE(Receive().empty());
 }
 
+struct request_pair {
+  const char* first_method;
+  const char* second_method;
+};
+
+void PrintTo(const request_pair& pair, std::ostream* out) {
+  *out << pair.first_method << " and " << pair.second_method;
+}
+
+class LeavingPairTest : public GatewayTest,
+                        public testing::WithParamInterface<request_pair> {
+ protected:
+  // Sends two requests, one behind the other, and calls `leave` while the first
+  // one is at its target.
+  template <typename Leave>
+  std::vector<proxy_response> SendPair(const Leave& leave) {
+    ApplyRules();
+    target_ = &AddTarget("t1", [](const proxy_request& request) {
+      scripted_reply reply = scripted_target::Success(request);
+      reply.delay = milliseconds(150);
+      return reply;
+    });
+    SendRequest("/pay/x", "1", GetParam().first_method);
+    SendRequest("/read/x", "2", GetParam().second_method);
+    RunUntil([this] { return !target_->requests().empty(); },
+             milliseconds(500));
+    leave();
+    return Receive(2);
+  }
+
+  std::size_t RequestsWithAttempt(std::string_view attempt) const {
+    const std::vector<proxy_request>& received = target_->requests();
+    return static_cast<std::size_t>(
+        std::count_if(received.begin(), received.end(),
+                      [attempt](const proxy_request& request) {
+                        return request.headers.Find("X-Attempt") == attempt;
+                      }));
+  }
+
+  scripted_target* target_ = nullptr;
+};
+
+// Guards against a request that waits behind another one when the host is asked
+// to leave: it was passed on to a target, and its response was dropped behind
+// the one that closed the connection.
+TEST_P(LeavingPairTest, AReadRequestIsServedBeforeTheConnectionCloses) {
+  const std::vector<proxy_response> responses =
+      SendPair([this] { gateway_.BeginLeaving(); });
+  ASSERT_EQ(responses.size(), 2U);
+  EXPECT_EQ(responses[0].status, 200);
+  EXPECT_EQ(responses[1].status, 200);
+  EXPECT_EQ(RequestsWithAttempt("2"), 1U);
+  EXPECT_TRUE(Receive().empty());
+}
+
+TEST_P(LeavingPairTest, ARequestThatIsNotAnsweredIsNotPassedOn) {
+  const std::vector<proxy_response> responses = SendPair([this] {
+    gateway_.BeginLeaving();
+    gateway_.BeginRefusing();
+  });
+  ASSERT_EQ(responses.size(), 2U);
+  EXPECT_EQ(responses[0].status, 200);
+  const bool was_passed_on = RequestsWithAttempt("2") > 0;
+  EXPECT_EQ(responses[1].status, was_passed_on ? 200 : 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(Methods,
+                         LeavingPairTest,
+                         testing::Values(request_pair{"POST", "POST"},
+                                         request_pair{"POST", "GET"},
+                                         request_pair{"GET", "POST"},
+                                         request_pair{"GET", "GET"}));
+
+// Guards against a request that follows one that closes its connection.
+TEST_F(GatewayTest, ARequestBehindAClosingOneIsNotPassedOn) {
+  ApplyRules();
+  scripted_target& target = AddTarget("t1", [](const proxy_request& request) {
+    return scripted_target::Success(request);
+  });
+  Send(
+      "POST /pay/x HTTP/1.1\r\nHost: h\r\nX-Attempt: 1\r\nX-Deadline: 5000\r\n"
+      "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  SendRequest("/pay/y", "2", "POST");
+  EXPECT_EQ(Receive(2).size(), 1U);
+  EXPECT_EQ(target.requests().size(), 1U);
+}
+
 // Guards against a host that stops while a response is only partly sent. A host
 // that shuts down ends once no request is unanswered, and the rest of the
 // response is lost with the process.
