Count targets that a request crashes at once

Reproduced with six real hosts: a request that ended each target within 30 ms reached 18 to 24 targets in 12 s, 8 to 15 times later than 3 s after the third. With targets that end after 200 ms it reached two.

Cause: the loss of a used connection within 60 ms of the request counts as that of an idle connection and was not reported to the crash guard.

Change: such a loss is recorded as a possible one, also by the other serving hosts. A request with a recorded loss goes out on new connections, where a loss is certain. Two certain losses hold it back as before, or three of either kind. The datagram of a certain loss keeps its bytes, so that hosts of the version before read it.

--- a/libraries/admission/crash_guard.cc
+++ b/libraries/admission/crash_guard.cc
@@ -9,7 +9,8 @@
 
 bool crash_guard::RecordLoss(std::uint64_t fingerprint,
                              std::string_view target,
-                             time_point now) {
+                             time_point now,
+                             loss_evidence evidence) {
   if (fingerprint == 0 || !options_.is_enabled ||
       HasRecentlyCompleted(fingerprint, now)) {
     return false;
@@ -22,18 +23,46 @@
   }
   loss_record& record = losses_[fingerprint];
   record.last_loss = now;
-  if (std::find(record.targets.begin(), record.targets.end(), target) ==
-      record.targets.end()) {
-    record.targets.emplace_back(target);
+  if (record.held_until) {
+    return false;
   }
-  if (record.held_until ||
-      record.targets.size() < options_.lost_targets_threshold) {
+  AddTarget(target, evidence, record);
+  if (!IsOverThreshold(record)) {
     return false;
   }
   record.held_until = now + options_.hold_time;
   return true;
 }
 
+void crash_guard::AddTarget(std::string_view id,
+                            loss_evidence evidence,
+                            loss_record& record) {
+  const auto found =
+      std::find_if(record.targets.begin(), record.targets.end(),
+                   [id](const lost_target& target) { return target.id == id; });
+  if (found == record.targets.end()) {
+    record.targets.push_back({std::string(id), evidence});
+  } else if (evidence == loss_evidence::kCertain) {
+    found->evidence = evidence;
+  }
+}
+
+bool crash_guard::IsOverThreshold(const loss_record& record) const {
+  const std::size_t certain = static_cast<std::size_t>(
+      std::count_if(record.targets.begin(), record.targets.end(),
+                    [](const lost_target& target) {
+                      return target.evidence == loss_evidence::kCertain;
+                    }));
+  return certain >= options_.lost_targets_threshold ||
+         record.targets.size() >= options_.possibly_lost_targets_threshold;
+}
+
+bool crash_guard::IsSuspected(std::uint64_t fingerprint, time_point now) const {
+  const auto position = losses_.find(fingerprint);
+  return position != losses_.end() &&
+         now - position->second.last_loss < options_.hold_time;
+}
+
 void crash_guard::RecordCompleted(std::uint64_t fingerprint, time_point now) {
   if (fingerprint == 0) {
     return;
--- a/libraries/admission/crash_guard.h
+++ b/libraries/admission/crash_guard.h
@@ -12,11 +12,20 @@
 
 namespace bulrushshore {
 
+// How certain it is that a target was lost because of the request that it ran.
+enum class loss_evidence {
+  // The connection may have ended for another reason, because it had been idle.
+  kPossible,
+  kCertain,
+};
+
 struct crash_guard_options {
   bool is_enabled = true;
   // A request is held back once this number of different targets closed the
   // connection while they ran it.
   std::size_t lost_targets_threshold = 2;
+  // The same if possible losses are counted, too.
+  std::size_t possibly_lost_targets_threshold = 3;
   duration hold_time = std::chrono::minutes(10);
   // Maximum number of fingerprints with losses. When it is reached, the one
   // with the oldest loss is evicted; those that are held back are evicted last.
@@ -48,7 +57,12 @@
   // 0 means "unknown" and is ignored.
   bool RecordLoss(std::uint64_t fingerprint,
                   std::string_view target,
-                  time_point now);
+                  time_point now,
+                  loss_evidence evidence = loss_evidence::kCertain);
+
+  // Returns true if a loss is recorded for the request. It should then be sent
+  // on a new connection, so that a further loss is certain.
+  bool IsSuspected(std::uint64_t fingerprint, time_point now) const;
 
   // Records a complete response, which clears the request of suspicion, also
   // for losses within the completion window that follows.
@@ -69,12 +83,23 @@
   std::size_t size() const { return losses_.size(); }
 
  private:
+  struct lost_target {
+    std::string id;
+    loss_evidence evidence = loss_evidence::kCertain;
+  };
+
   struct loss_record {
-    std::vector<std::string> targets;
+    std::vector<lost_target> targets;
     time_point last_loss;
     std::optional<time_point> held_until;
   };
 
+  // Adds a target or the better evidence for a known one.
+  static void AddTarget(std::string_view id,
+                        loss_evidence evidence,
+                        loss_record& record);
+  bool IsOverThreshold(const loss_record& record) const;
+
   struct completion_record {
     std::uint64_t fingerprint = 0;
     time_point time;
--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -167,7 +167,9 @@
   const std::shared_ptr<attempt> new_attempt = std::make_shared<attempt>();
   new_attempt->target = target;
   new_attempt->connection =
-      state_.connections().Take(target, route_->is_idempotent);
+      state_.crashes().IsSuspected(fingerprint_, now)
+          ? state_.connections().TakeNew(target)
+          : state_.connections().Take(target, route_->is_idempotent);
   new_attempt->was_reused = new_attempt->connection->WasConnected();
   new_attempt->start_time = now;
   attempts_.push_back(new_attempt);
@@ -275,8 +277,12 @@
     state_.connections().Drop(ended.target.id);
     return attempt_end::kNotSent;
   }
-  if (observation == target_observation::kConnectionLost) {
-    state_.RecordLoss(fingerprint_, ended.target.id);
+  if (failure == exchange_failure::kClosedBeforeResponse) {
+    // A target that crashes at once looks like one that had closed the idle
+    // connection.
+    state_.RecordLoss(fingerprint_, ended.target.id,
+                      is_stale_connection ? loss_evidence::kPossible
+                                          : loss_evidence::kCertain);
   }
   return attempt_end::kUnknown;
 }
--- a/libraries/gateway/gateway_state.cc
+++ b/libraries/gateway/gateway_state.cc
@@ -114,9 +114,11 @@
 }
 
 void gateway_state::RecordLoss(std::uint64_t fingerprint,
-                               std::string_view target_id) {
-  const bool is_held = crashes_.RecordLoss(fingerprint, target_id, time_.Now());
-  reporter_.ReportLoss(fingerprint, target_id);
+                               std::string_view target_id,
+                               loss_evidence evidence) {
+  const bool is_held =
+      crashes_.RecordLoss(fingerprint, target_id, time_.Now(), evidence);
+  reporter_.ReportLoss(fingerprint, target_id, evidence);
   if (is_held) {
     telemetry_.log().Write(
         log_level::kWarning, "request_held_back",
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -44,7 +44,8 @@
   // the request with this fingerprint, a hash of the request's method, request
   // target and body.
   virtual void ReportLoss(std::uint64_t fingerprint,
-                          std::string_view target_id) = 0;
+                          std::string_view target_id,
+                          loss_evidence evidence) = 0;
 
   // Reports to the other hosts that `target` has announced that it is leaving.
   virtual void ReportLeaving(const suspicion_tracker::target_key& target) = 0;
@@ -140,7 +141,9 @@
   // reports this to the other hosts. Once too many targets have done so for a
   // fingerprint, the request is held back: hosts refuse it for some time
   // instead of sending it to more targets.
-  void RecordLoss(std::uint64_t fingerprint, std::string_view target_id);
+  void RecordLoss(std::uint64_t fingerprint,
+                  std::string_view target_id,
+                  loss_evidence evidence);
 
   // Stops using an incarnation of a target because it has announced that it is
   // leaving. Returns false if it was already out of use or is unknown.
--- a/libraries/gateway/target_connection_pool.cc
+++ b/libraries/gateway/target_connection_pool.cc
@@ -48,6 +48,11 @@
       idle.connection->Close();
     }
   }
+  return TakeNew(target);
+}
+
+std::shared_ptr<http_connection> target_connection_pool::TakeNew(
+    const target_entry& target) {
   return std::make_shared<http_connection>(loop_, target.address,
                                            options_.connection);
 }
--- a/libraries/gateway/target_connection_pool.h
+++ b/libraries/gateway/target_connection_pool.h
@@ -55,6 +55,9 @@
   std::shared_ptr<http_connection> Take(const target_entry& target,
                                         bool is_idempotent);
 
+  // Returns a new connection.
+  std::shared_ptr<http_connection> TakeNew(const target_entry& target);
+
   // Puts the connection back into the pool if it can be reused and the limits
   // allow it. `keep_alive_timeout` is the one that the target announced.
   void Return(const target_entry& target,
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -117,8 +117,12 @@
 }
 
 void peer_agent::Report(const target_loss_report& report) {
-  // A caller may retry a request that crashes targets at any host.
-  Broadcast(hosts_.OtherHosts(), report);
+  if (report.is_certain) {
+    // A caller may retry a request that crashes targets at any host.
+    Broadcast(hosts_.OtherHosts(), report);
+  } else if (TryTakeReportToken()) {
+    Broadcast(hosts_.ServingHosts(), report);
+  }
 }
 
 void peer_agent::Report(const target_leaving_report& report) {
--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -44,6 +44,9 @@
   void operator()(const target_loss_report& body) const {
     fields.push_back(body.fingerprint);
     fields.push_back(body.target_id);
+    if (!body.is_certain) {
+      fields.push_back(false);
+    }
   }
   void operator()(const host_view& body) const {
     fields.push_back(body.rules_version);
@@ -165,8 +168,11 @@
       return body;
     }
     case 6: {
-      const std::uint64_t fingerprint = reader.Unsigned();
-      return target_loss_report{fingerprint, reader.Text()};
+      target_loss_report body;
+      body.fingerprint = reader.Unsigned();
+      body.target_id = reader.Text();
+      body.is_certain = !reader.HasMore() || reader.Boolean();
+      return body;
     }
     case 7: {
       const std::uint64_t rules_version = reader.Unsigned();
--- a/libraries/peers/peer_datagram.h
+++ b/libraries/peers/peer_datagram.h
@@ -63,6 +63,9 @@
 struct target_loss_report {
   std::uint64_t fingerprint = 0;
   std::string target_id;
+  // Whether the request is certainly the reason. Not encoded if true, so that
+  // hosts of earlier versions read the report.
+  bool is_certain = true;
 
   bool operator==(const target_loss_report&) const = default;
 };
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -201,8 +201,10 @@
 }
 
 void edge_daemon::ReportLoss(std::uint64_t fingerprint,
-                             std::string_view target_id) {
-  peers_.Report(target_loss_report{fingerprint, std::string(target_id)});
+                             std::string_view target_id,
+                             loss_evidence evidence) {
+  peers_.Report(target_loss_report{fingerprint, std::string(target_id),
+                                   evidence == loss_evidence::kCertain});
 }
 
 void edge_daemon::ReportLeaving(const suspicion_tracker::target_key& target) {
@@ -217,8 +219,9 @@
 }
 
 void edge_daemon::OnTargetLost(const target_loss_report& report) {
-  state_.crashes().RecordLoss(report.fingerprint, report.target_id,
-                              time_.Now());
+  state_.crashes().RecordLoss(
+      report.fingerprint, report.target_id, time_.Now(),
+      report.is_certain ? loss_evidence::kCertain : loss_evidence::kPossible);
 }
 
 void edge_daemon::OnTargetLeaving(const target_leaving_report& report) {
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -130,7 +130,8 @@
   void ReportObservation(const suspicion_tracker::target_key& target,
                          target_observation observation) override;
   void ReportLoss(std::uint64_t fingerprint,
-                  std::string_view target_id) override;
+                  std::string_view target_id,
+                  loss_evidence evidence) override;
   void ReportLeaving(const suspicion_tracker::target_key& target) override;
   void OnObservation(const observation_report& report) override;
   void OnTargetLost(const target_loss_report& report) override;
--- a/tests/admission/crash_guard_test.cc
+++ b/tests/admission/crash_guard_test.cc
@@ -23,6 +23,35 @@
 
 // Guards against a hold that never ends or that an operator cannot end, and
 // against counting losses from before the hold.
+// Guards against a request that crashes targets at once: on a connection that
+// had been idle, each loss may have another reason.
+TEST(CrashGuardTest, HoldsBackAfterThreePossibleLosses) {
+  crash_guard guard;
+  const loss_evidence possible = loss_evidence::kPossible;
+  EXPECT_FALSE(guard.IsSuspected(kFingerprint, kStart));
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "a", kStart, possible));
+  EXPECT_TRUE(guard.IsSuspected(kFingerprint, kStart));
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "b", kStart, possible));
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "b", kStart, possible));
+  EXPECT_TRUE(guard.RecordLoss(kFingerprint, "c", kStart, possible));
+}
+
+TEST(CrashGuardTest, CertainLossesCountMoreThanPossibleOnes) {
+  crash_guard guard;
+  guard.RecordLoss(kFingerprint, "a", kStart, loss_evidence::kPossible);
+  EXPECT_FALSE(guard.RecordLoss(kFingerprint, "b", kStart));
+  EXPECT_TRUE(guard.RecordLoss(kFingerprint, "a", kStart));
+}
+
+// Guards against holding back a request because connections were reset that had
+// been idle, which says nothing about the request once it completes.
+TEST(CrashGuardTest, ACompleteResponseEndsTheSuspicion) {
+  crash_guard guard;
+  guard.RecordLoss(kFingerprint, "a", kStart, loss_evidence::kPossible);
+  guard.RecordCompleted(kFingerprint, kStart);
+  EXPECT_FALSE(guard.IsSuspected(kFingerprint, kStart));
+}
+
 TEST(CrashGuardTest, HoldEndsByTimeoutOrByOperator) {
   crash_guard guard;
   guard.RecordLoss(kFingerprint, "a", kStart);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -24,7 +24,9 @@
                          target_observation observation) override {
     observations.push_back(observation);
   }
-  void ReportLoss(std::uint64_t, std::string_view) override { ++losses; }
+  void ReportLoss(std::uint64_t, std::string_view, loss_evidence) override {
+    ++losses;
+  }
   void ReportLeaving(const suspicion_tracker::target_key& target) override {
     leaving_targets.emplace_back(target.id);
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -303,6 +303,35 @@
   EXPECT_TRUE(reporter_.observations.empty());
 }
 
+// Guards against a request that crashes each target at once: on a connection
+// that had carried earlier requests, the loss was taken for that of an idle
+// connection, and the request went on to one target after the other.
+TEST_F(GatewayTest, HoldsBackARequestThatCrashesTargetsOnUsedConnections) {
+  constexpr int kTargets = 6;
+  ApplyRules();
+  int runs = 0;
+  for (int number = 0; number < kTargets; ++number) {
+    AddTarget("t" + std::to_string(number), [&runs](
+                                                const proxy_request& request) {
+      if (request.target != "/pay/poison") {
+        return scripted_target::Success(request);
+      }
+      ++runs;
+      return scripted_reply{.bytes = "", .closes_after = true, .resets = true};
+    });
+  }
+  for (int round = 0; round < 5 * kTargets; ++round) {
+    SendRequest("/pay/x" + std::to_string(round), "x", "POST");
+    ASSERT_EQ(Receive()[0].status, 200);
+  }
+  for (int attempt = 0; attempt < 2 * kTargets; ++attempt) {
+    SendRequest("/pay/poison", "p", "POST");
+    const int status = Receive()[0].status;
+    EXPECT_TRUE(status == 502 || status == 503) << status;
+  }
+  EXPECT_LE(runs, 3);
+}
+
 TEST_F(GatewayTest, HoldsBackARequestThatCrashesTargets) {
   ApplyRules();
   const scripted_target::script crash = [](const proxy_request&) {
--- a/tests/peers/peer_datagram_test.cc
+++ b/tests/peers/peer_datagram_test.cc
@@ -16,6 +16,7 @@
       {"h", host_lost_body{"x"}},
       {"h", observation_report{"t", -1, target_observation::kInvalidResponse}},
       {"h", target_loss_report{~std::uint64_t{0}, "t"}},
+      {"h", target_loss_report{9, "t", false}},
       {"h", host_view{3, ~std::uint64_t{0}}},
       {"h", suspicion_summary{{{"t", -1, 300}, {"u", 5, 4000}}}},
       {"h", target_leaving_report{"t", 7}},
@@ -51,5 +52,14 @@
       DecodePeerDatagram(std::string("\x86\x61h\x05\xf5\x61t\x00\x01", 9))));
 }
 
+// Guards against a report that hosts of the version before cannot read.
+TEST(PeerDatagramTest, ACertainLossHasTheBytesOfEarlierVersions) {
+  // ["h", 6, true, 9, "t"]
+  const std::string bytes("\x85\x61h\x06\xf5\x09\x61t", 8);
+  EXPECT_EQ(EncodePeerDatagram({"h", target_loss_report{9, "t"}}), bytes);
+  EXPECT_EQ(ValueOf(DecodePeerDatagram(bytes)),
+            (peer_datagram{"h", target_loss_report{9, "t", true}}));
+}
+
 }  // namespace
 }  // namespace bulrushshore
