Never wait for the reader of the log

What callers would see: with a standard output that nobody reads, a host answered nothing any more after 30 lines in a pipe of 4 KiB. Found while looking for the cause of the users' LOST on machines of their own; whether it is what they saw is not known, as there are no logs.

Cause: the console appender of log4cxx writes in blocking mode, on the event loop. The rate of the log bounds how fast a pipe fills, not that it fills.

Change: an appender asks with poll() before each write of at most PIPE_BUF bytes and drops a line that a full pipe does not take; a metric counts these. Texts in a line are cut off at 512 bytes, so that no entry of the store makes long lines.

--- a/libraries/telemetry/log.h
+++ b/libraries/telemetry/log.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_TELEMETRY_LOG_H_
 #define LIBRARIES_TELEMETRY_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -25,11 +26,16 @@
                       log_stream stream = log_stream::kStandardError);
 
 // Writes one JSON object on a line of its own, with the fields "time", "level"
-// and "event" followed by `fields`. Thread safe.
+// and "event" followed by `fields`. Long texts are cut off. Never waits for the
+// reader of the stream: a line that a full pipe doesn't take is dropped. Thread
+// safe.
 void LogEvent(log_level level,
               std::string_view event,
               std::initializer_list<log_field> fields = {});
 
+// Returns the number of lines that the stream did not take. Thread safe.
+std::uint64_t DroppedLogLines();
+
 }  // namespace bulrushshore
 
 #endif  // LIBRARIES_TELEMETRY_LOG_H_
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -191,6 +191,10 @@
                : 0);
   metrics_.GetGauge("bulrush_log_lines_dropped", "Log lines over the rate.")
       .Set(static_cast<std::int64_t>(log_.dropped()));
+  metrics_
+      .GetGauge("bulrush_log_lines_not_taken",
+                "Log lines that the reader of the log was too slow for.")
+      .Set(static_cast<std::int64_t>(DroppedLogLines()));
   return metrics_.RenderText();
 }
 
