Wait at the start for addresses that are still in use

What users would see: a process that is started while the one before it still runs ended with code 3. Found while looking for the cause of the users' FAULT on machines of their own; whether it is what they saw is not known.

Cause: each address was bound once. A process that was asked to end keeps its addresses for up to its grace period, and a killed one until the kernel has closed its sockets.

Other errors end the process at once as before.

--- a/libraries/event_loop/socket_options.cc
+++ b/libraries/event_loop/socket_options.cc
@@ -25,7 +25,8 @@
 }
 
 error AddressError(const endpoint& address, const socket_error& cause) {
-  return {error_code::kInvalidArgument,
+  return {cause == asio::error::address_in_use ? error_code::kUnavailable
+                                               : error_code::kInvalidArgument,
           FormatEndpoint(address) + ": " + cause.message()};
 }
 
--- a/tests/platform/edge_process_test.cc
+++ b/tests/platform/edge_process_test.cc
@@ -109,5 +109,29 @@
   close(reader);
 }
 
+// Guards against a host that ends at its start because the process before it
+// has not given up its addresses yet.
+TEST_F(EdgeProcessTest, WaitsForTheAddressesOfTheProcessBefore) {
+  const std::unique_ptr<child_process> first = Start("first");
+  ASSERT_TRUE(WaitUntilItAnswers(milliseconds(5000)));
+  const std::unique_ptr<child_process> second = Start("second");
+  std::this_thread::sleep_for(milliseconds(700));
+  EXPECT_FALSE(second->HasEnded());
+  first->Signal(SIGKILL);
+  ASSERT_TRUE(first->WaitForEnd(milliseconds(2000)));
+  EXPECT_TRUE(WaitUntilItAnswers(milliseconds(2000)));
+  EXPECT_FALSE(second->HasEnded());
+}
+
+TEST_F(EdgeProcessTest, EndsOnASignalWhileItWaitsForAddresses) {
+  const std::unique_ptr<child_process> first = Start("first");
+  ASSERT_TRUE(WaitUntilItAnswers(milliseconds(5000)));
+  const std::unique_ptr<child_process> second = Start("second");
+  std::this_thread::sleep_for(milliseconds(700));
+  second->Signal(SIGTERM);
+  EXPECT_TRUE(second->WaitForEnd(milliseconds(2000)));
+  EXPECT_EQ(second->exit_code(), 0);
+}
+
 }  // namespace
 }  // namespace bulrushshore
