Do not cut responses that callers are still reading

What callers saw, with real processes: a host got SIGTERM while four callers read answers of 1.5 MB and sent further bytes; each got 59 KB and a reset.

Cause: a response counted as sent once the kernel had taken it. The kernel resets a connection whose process has closed it when further bytes arrive, and drops what it holds. A closing connection was closed after one second for the same reason, and a write that took longer than the idle timeout was cut although it made progress, because activity was noted at its end only.

Change: a leaving host ends once callers have acknowledged what was sent, within its grace period as before. A closing connection lingers while its caller acknowledges bytes. Partial writes and acknowledgements count as activity.

--- a/libraries/event_loop/socket_options.cc
+++ b/libraries/event_loop/socket_options.cc
@@ -1,8 +1,11 @@
 #include "libraries/event_loop/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <string>
@@ -60,6 +63,15 @@
   return OkStatus();
 }
 
+std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  if (!socket.is_open() ||
+      ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 result<asio::ip::tcp::endpoint> ToTcpEndpoint(const endpoint& address) {
   socket_error failure;
   const asio::ip::address ip = asio::ip::make_address(address.ip, failure);
--- a/libraries/event_loop/socket_options.h
+++ b/libraries/event_loop/socket_options.h
@@ -2,6 +2,7 @@
 #define LIBRARIES_EVENT_LOOP_SOCKET_OPTIONS_H_
 
 #include <chrono>
+#include <cstddef>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -28,6 +29,11 @@
 status ApplySocketOptions(boost::asio::ip::tcp::socket& socket,
                           const silence_limits& limits);
 
+// Returns the number of sent bytes that the peer has not acknowledged, or 0 if
+// the socket is closed or the system doesn't tell. Thread safe for unshared
+// sockets.
+std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
 // Opens, binds and listens. Thread safe.
 result<boost::asio::ip::tcp::acceptor> ListenOn(boost::asio::io_context& loop,
                                                 const endpoint& address);
--- a/libraries/gateway/caller_session.cc
+++ b/libraries/gateway/caller_session.cc
@@ -1,13 +1,13 @@
 #include "libraries/gateway/caller_session.h"
 
 #include <algorithm>
+#include <limits>
 #include <span>
 #include <string_view>
 #include <utility>
 #include <variant>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
 #include "libraries/gateway/failure_response.h"
 #include "libraries/http/message_writer.h"
@@ -35,6 +35,9 @@
 // Sent with refusals shortly before the process exits.
 constexpr std::chrono::milliseconds kLeavingRetryAfter{20};
 
+// Makes the first check of HasSendProgress() for a write count as progress.
+constexpr std::size_t kNotChecked = std::numeric_limits<std::size_t>::max();
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool IsSafeMethod(std::string_view method) {
@@ -256,23 +259,36 @@
     return;
   }
   writing_ = std::exchange(outgoing_, {});
-  asio::async_write(
-      socket_, asio::buffer(writing_),
-      [self = shared_from_this()](const socket_error& error, std::size_t) {
-        self->writing_.clear();
-        self->OnWritten(error);
+  written_bytes_ = 0;
+  unacknowledged_bytes_ = kNotChecked;
+  WriteRest();
+}
+
+void caller_session::WriteRest() {
+  socket_.async_write_some(
+      asio::buffer(writing_) + written_bytes_,
+      [self = shared_from_this()](const socket_error& error, std::size_t size) {
+        self->OnWritten(error, size);
       });
 }
 
-void caller_session::OnWritten(const socket_error& error) {
+void caller_session::OnWritten(const socket_error& error, std::size_t size) {
   if (is_closed_) {
+    writing_.clear();
     return;
   }
   if (error) {
+    writing_.clear();
     CloseAndAbandonRequests();
     return;
   }
   last_activity_ = state_.time().Now();
+  written_bytes_ += size;
+  if (written_bytes_ < writing_.size()) {
+    WriteRest();
+    return;
+  }
+  writing_.clear();
   if (!outgoing_.empty()) {
     Write();
     return;
@@ -285,13 +301,35 @@
 void caller_session::FinishSending() {
   socket_error ignored;  // The caller may have closed the connection already.
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Linger();
+  WaitForBytes();
+}
+
+void caller_session::Linger() {
   timer_.expires_after(kLingerTime);
   timer_.async_wait([self = shared_from_this()](const socket_error& error) {
-    if (!error) {
+    if (error || self->is_closed_) {
+      return;
+    }
+    const time_point now = self->state_.time().Now();
+    if (self->HasSendProgress()) {
+      self->last_activity_ = now;
+    }
+    const bool is_sending =
+        self->HasUnacknowledgedBytes() &&
+        now - self->last_activity_ < self->Limits().idle_timeout;
+    if (is_sending) {
+      self->Linger();
+    } else {
       self->Close();
     }
   });
-  WaitForBytes();
+}
+
+bool caller_session::HasSendProgress() {
+  const std::size_t before =
+      std::exchange(unacknowledged_bytes_, UnacknowledgedBytes(socket_));
+  return unacknowledged_bytes_ < before;
 }
 
 void caller_session::CloseAndAbandonRequests() {
@@ -347,6 +385,9 @@
     return;
   }
   const time_point now = state_.time().Now();
+  if (!writing_.empty() && HasSendProgress()) {
+    last_activity_ = now;
+  }
   const caller_limits limits = Limits();
   const bool is_idle_too_long =
       now - last_activity_ >= limits.idle_timeout + kIdleMargin;
--- a/libraries/gateway/caller_session.h
+++ b/libraries/gateway/caller_session.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "libraries/event_loop/socket_options.h"
 #include "libraries/gateway/exchange.h"
 #include "libraries/gateway/gateway_state.h"
 #include "libraries/http/request_reader.h"
@@ -72,6 +73,11 @@
     return pending_.size() + (is_sending ? 1 : 0);
   }
 
+  // Returns true if the caller has not acknowledged all that was sent. If the
+  // process ends now, the rest may be lost: the kernel resets a closed
+  // connection on which further bytes arrive.
+  bool HasUnacknowledgedBytes() { return UnacknowledgedBytes(socket_) > 0; }
+
  private:
   struct pending_request {
     // Null if the request was refused without being forwarded.
@@ -96,8 +102,12 @@
                        proxy_response response);
   void QueueReadyResponses();
   void Write();
-  void OnWritten(const socket_error& error);
+  void WriteRest();
+  void OnWritten(const socket_error& error, std::size_t size);
   void FinishSending();
+  void Linger();
+  // Returns true if the caller has acknowledged bytes since the last call.
+  bool HasSendProgress();
   void CloseAndAbandonRequests();
   void ArmTimer();
   void OnTimer();
@@ -115,6 +125,10 @@
   std::string outgoing_;
   // Bytes of the write in progress; empty if there is none.
   std::string writing_;
+  // Bytes of `writing_` that were written.
+  std::size_t written_bytes_ = 0;
+  // Result of the last check of HasSendProgress().
+  std::size_t unacknowledged_bytes_ = 0;
   time_point last_activity_;
   time_point request_began_;
   bool is_waiting_for_bytes_ = false;
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "libraries/gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -87,6 +88,13 @@
   return count;
 }
 
+bool gateway::HasUnacknowledgedBytes() const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const session_map::value_type& entry) {
+                       return entry.second->HasUnacknowledgedBytes();
+                     });
+}
+
 void gateway::OnSessionClosed(const caller_session* session) {
   sessions_.erase(session);
 }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -48,6 +48,9 @@
   // count as one.
   std::size_t UnansweredRequests() const;
 
+  // Returns true if a caller has not acknowledged all that was sent to it.
+  bool HasUnacknowledgedBytes() const;
+
   std::size_t session_count() const { return sessions_.size(); }
 
   bool IsLeaving() const override { return is_leaving_; }
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -396,8 +396,12 @@
 
 void edge_daemon::ContinueLeaving() {
   const std::size_t requests_in_flight = gateway_.UnansweredRequests();
+  // A response that is not acknowledged yet may be lost with the process.
+  const std::size_t unfinished =
+      requests_in_flight > 0 ? requests_in_flight
+                             : (gateway_.HasUnacknowledgedBytes() ? 1 : 0);
   const leave_phase phase = LeavePhaseAt(time_.Now() - leave_started_at_,
-                                         requests_in_flight, options_.leaving);
+                                         unfinished, options_.leaving);
   if (phase == leave_phase::kEnded) {
     log_.Write(
         requests_in_flight == 0 ? log_level::kInfo : log_level::kWarning,
--- a/services/edge_daemon/leave_schedule.h
+++ b/services/edge_daemon/leave_schedule.h
@@ -29,7 +29,8 @@
 };
 
 // Returns the phase of a host that was asked to shut down `elapsed` ago and has
-// `requests_in_flight` requests in flight. Thread safe.
+// `requests_in_flight` requests whose response has not arrived at its caller.
+// Thread safe.
 leave_phase LeavePhaseAt(duration elapsed,
                          std::size_t requests_in_flight,
                          const leave_options& options);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -11,6 +11,7 @@
 namespace bulrushshore {
 namespace {
 
+namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 scripted_reply NotExecuted(const proxy_request&) {
@@ -471,6 +472,86 @@
   EXPECT_EQ(gateway_.UnansweredRequests(), 0U);
 }
 
+class SlowReaderTest : public GatewayTest {
+ protected:
+  static constexpr milliseconds kIdleTimeout{200};
+
+  // Sends a request for a large response on a connection with a small receive
+  // buffer.
+  void Request(std::size_t body_bytes) {
+    rule_set rules;
+    rules.version = 1;
+    rules.limits.idle_timeout = kIdleTimeout;
+    route_rule route;
+    route.name = "read";
+    route.host_name = "h";
+    route.path_prefix = "/read/";
+    route.services = {{"s", 1.0}};
+    route.timeout = milliseconds(2000);
+    rules.routes["read"] = route;
+    ASSERT_TRUE(state_.SetRules(std::make_shared<const rule_set>(rules)));
+    AddTarget("t1", [body_bytes](const proxy_request& request) {
+      return scripted_target::Success(request, std::string(body_bytes, 'x'));
+    });
+    caller_.open(boost::asio::ip::tcp::v4());
+    caller_.set_option(boost::asio::socket_base::receive_buffer_size(8192));
+    Connect();
+    SendRequest("/read/x");
+  }
+
+  // Reads pieces with pauses until the connection ends or `limit` bytes are
+  // read.
+  std::size_t ReadSlowly(std::size_t limit, milliseconds pause) {
+    std::size_t size = 0;
+    socket_error error;
+    caller_.non_blocking(true);
+    while (size < limit && (!error || error == asio::error::would_block)) {
+      RunFor(pause);
+      size += caller_.read_some(boost::asio::buffer(buffer_), error);
+    }
+    return size;
+  }
+};
+
+// Guards against cutting a response that its caller reads slowly: the whole
+// write had to end within the idle timeout.
+TEST_F(SlowReaderTest, AResponseThatIsReadSlowlyIsNotCut) {
+  // More than the kernel takes at once.
+  constexpr std::size_t kBodyBytes = std::size_t{7} << 20;
+  Request(kBodyBytes);
+  const time_point start = time_.Now();
+  EXPECT_GE(ReadSlowly(kBodyBytes, milliseconds(5)), kBodyBytes);
+  EXPECT_GT(time_.Now() - start, 2 * (kIdleTimeout + milliseconds(500)));
+}
+
+// Guards against a process that ends while its kernel still holds a response:
+// if the caller sends further bytes then, the kernel resets the connection.
+TEST_F(SlowReaderTest, BytesThatTheCallerHasNotReadAreKnown) {
+  constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+  Request(kBodyBytes);
+  RunUntil([this] { return caller_.available() > 0; }, milliseconds(2000));
+  RunUntil([this] { return gateway_.UnansweredRequests() == 0; },
+           milliseconds(300));
+  EXPECT_TRUE(gateway_.HasUnacknowledgedBytes());
+  EXPECT_GE(ReadSlowly(kBodyBytes, milliseconds(1)), kBodyBytes);
+  RunUntil([this] { return !gateway_.HasUnacknowledgedBytes(); },
+           milliseconds(500));
+  EXPECT_FALSE(gateway_.HasUnacknowledgedBytes());
+}
+
+// Guards against a host that closes a connection one second after its last
+// response, which the kernel still sends: a byte that arrives then resets the
+// connection.
+TEST_F(SlowReaderTest, AClosingResponseThatIsReadSlowlyIsNotCut) {
+  constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+  gateway_.BeginLeaving();
+  Request(kBodyBytes);
+  const std::size_t read = ReadSlowly(kBodyBytes * 3 / 4, milliseconds(30));
+  SendRequest("/read/y", "2");
+  RunFor(milliseconds(50));
+  EXPECT_GE(read + ReadSlowly(kBodyBytes / 4, milliseconds(5)), kBodyBytes);
+}
+
 TEST_F(GatewayTest, RejectsMalformedRequestsAndClosesTheConnection) {
   ApplyRules();
   Send(
