Tell a host that announces itself which requests are held back

What callers and targets saw, with six real hosts that were restarted one after the other: a request that crashes its targets, and was held back, reached 16 targets (13 later than 3 s after the third; by SIGKILL 7 and 4).

Cause: a restarted host has forgotten the losses, sends the request to two more targets, and the other hosts ignore its reports because they know already.

Change: the serving hosts of its zone answer an announcement with reports of the targets that held requests have crashed, at most 64 datagrams.

The test was not run on the old code, which has no such answer.

--- a/libraries/admission/crash_guard.cc
+++ b/libraries/admission/crash_guard.cc
@@ -114,8 +114,14 @@
   for (const std::unordered_map<std::uint64_t, loss_record>::value_type& entry :
        losses_) {
     const std::optional<time_point> until = HeldUntil(entry.first, now);
-    if (until) {
-      held.push_back({entry.first, *until});
+    if (!until) {
+      continue;
+    }
+    held_fingerprint& added = held.emplace_back();
+    added.fingerprint = entry.first;
+    added.until = *until;
+    for (const lost_target& target : entry.second.targets) {
+      added.lost_targets.push_back(target.id);
     }
   }
   return held;
--- a/libraries/admission/crash_guard.h
+++ b/libraries/admission/crash_guard.h
@@ -37,10 +37,12 @@
   std::size_t completion_capacity = 256;
 };
 
-// The fingerprint of a request that is held back, and when the hold ends.
+// The fingerprint of a request that is held back, when the hold ends, and the
+// targets that were lost.
 struct held_fingerprint {
   std::uint64_t fingerprint = 0;
   time_point until;
+  std::vector<std::string> lost_targets;
 };
 
 // Detects requests that crash the targets that run them. A fingerprint is a
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -125,6 +125,14 @@
   }
 }
 
+void peer_agent::ReportTo(std::string_view host_id,
+                          const target_loss_report& report) {
+  const host_entry* host = hosts_.Find(host_id);
+  if (host) {
+    Send(host->peer_address, report);
+  }
+}
+
 void peer_agent::Report(const target_leaving_report& report) {
   if (TryTakeReportToken()) {
     Broadcast(hosts_.ServingHosts(), report);
@@ -252,6 +260,7 @@
                {{"host", sender}, {"zone", body.host.zone}});
     events_.OnHostsChanged();
   }
+  events_.OnHostAnnounced(sender);
 }
 
 void peer_agent::HandleBody(const std::string& sender, const leaving_body&) {
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -33,6 +33,9 @@
   // Another host reports that a target has announced that it is leaving.
   virtual void OnTargetLeaving(const target_leaving_report& report) = 0;
 
+  // A host has announced itself; it may just have started.
+  virtual void OnHostAnnounced(std::string_view host_id) = 0;
+
   // The leader of the zone publishes which versions of the data it has.
   virtual void OnView(const host_view& view) = 0;
 
@@ -95,6 +98,9 @@
   // Notifies all other hosts that a target was lost while it ran a request.
   void Report(const target_loss_report& report);
 
+  // Notifies one host of a lost target. Has no effect if the host is unknown.
+  void ReportTo(std::string_view host_id, const target_loss_report& report);
+
   // Notifies the serving hosts that a target has announced that it is leaving.
   // Other hosts learn it from the target list or from the target.
   void Report(const target_leaving_report& report);
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -34,6 +34,9 @@
 // Summaries carry a suspicion as an integer number of thousandths.
 constexpr double kThousandthsPerUnit = 1000.0;
 
+// Reports of lost targets that one announcement of a host is answered with.
+constexpr std::size_t kMaxHoldReports = 64;
+
 // Interval at which a leaving host checks its phase.
 constexpr duration kLeavePollInterval = std::chrono::milliseconds(50);
 
@@ -228,6 +231,24 @@
       report.is_certain ? loss_evidence::kCertain : loss_evidence::kPossible);
 }
 
+void edge_daemon::OnHostAnnounced(std::string_view host_id) {
+  const host_entry* host = hosts_.Find(host_id);
+  if (!hosts_.IsServing() || !host || host->zone != hosts_.self().zone) {
+    return;
+  }
+  // A host that has restarted has forgotten which requests are held back, and
+  // would let each of them reach more targets.
+  std::size_t reports = 0;
+  for (const held_fingerprint& held : state_.crashes().Held(time_.Now())) {
+    for (const std::string& target : held.lost_targets) {
+      if (++reports > kMaxHoldReports) {
+        return;
+      }
+      peers_.ReportTo(host_id, target_loss_report{held.fingerprint, target});
+    }
+  }
+}
+
 void edge_daemon::OnTargetLeaving(const target_leaving_report& report) {
   state_.MarkLeaving({report.target_id, report.started_at_unix_ms});
 }
--- a/services/edge_daemon/edge_daemon.h
+++ b/services/edge_daemon/edge_daemon.h
@@ -135,6 +135,7 @@
   void ReportLeaving(const suspicion_tracker::target_key& target) override;
   void OnObservation(const observation_report& report) override;
   void OnTargetLost(const target_loss_report& report) override;
+  void OnHostAnnounced(std::string_view host_id) override;
   void OnTargetLeaving(const target_leaving_report& report) override;
   void OnView(const host_view& view) override;
   void OnSuspicions(const suspicion_summary& summary) override;
--- a/tests/edge_daemon/view_check_test.cc
+++ b/tests/edge_daemon/view_check_test.cc
@@ -142,32 +142,37 @@
     daemons_[leader_]->AddHosts(added);
   }
 
-  void ReportFailureOf(const std::string& target) {
-    const std::string report = EncodePeerDatagram(
-        {"host-3",
-         observation_report{target, 5, target_observation::kFailure}});
-    socket_.send_to(boost::asio::buffer(report),
+  void Send(const peer_body& body) {
+    const std::string bytes = EncodePeerDatagram({"host-3", body});
+    socket_.send_to(boost::asio::buffer(bytes),
                     {boost::asio::ip::make_address("127.0.0.1"),
                      daemons_[leader_]->self().peer_address.port});
   }
 
+  void ReportFailureOf(const std::string& target) {
+    Send(observation_report{target, 5, target_observation::kFailure});
+  }
+
+  // Returns the next datagram if there is one.
+  std::optional<peer_datagram> ReceiveDatagram() {
+    std::array<char, 65'536> buffer{};
+    boost::system::error_code failure;
+    datagram_bytes_ = socket_.receive(boost::asio::buffer(buffer), 0, failure);
+    result<peer_datagram> message =
+        DecodePeerDatagram({buffer.data(), failure ? 0 : datagram_bytes_});
+    return IsOk(message) ? std::optional(TakeValue(std::move(message)))
+                         : std::nullopt;
+  }
+
   // Returns the next summary that the leader sends, or nothing on a timeout.
   std::optional<suspicion_summary> ReceiveSummary() {
     std::optional<suspicion_summary> summary;
     RunUntil([&] {
-      std::array<char, 65'536> buffer{};
-      boost::system::error_code failure;
-      const std::size_t size =
-          socket_.receive(boost::asio::buffer(buffer), 0, failure);
-      const result<peer_datagram> message =
-          DecodePeerDatagram({buffer.data(), failure ? 0 : size});
-      if (IsOk(message)) {
-        const suspicion_summary* received =
-            std::get_if<suspicion_summary>(&ValueOf(message).body);
-        if (received) {
-          summary = *received;
-          datagram_bytes_ = size;
-        }
+      const std::optional<peer_datagram> message = ReceiveDatagram();
+      const suspicion_summary* received =
+          message ? std::get_if<suspicion_summary>(&message->body) : nullptr;
+      if (received) {
+        summary = *received;
       }
       return summary.has_value();
     });
@@ -219,5 +224,27 @@
   EXPECT_TRUE(sources_[follower]->differences.empty());
 }
 
+// Guards against a restarted host that sends a request to more targets although
+// the other hosts know that it crashes them. While hosts were restarted one
+// after the other, such a request reached 16 targets.
+TEST_F(SuspicionTest, AHostThatAnnouncesItselfLearnsWhatIsHeldBack) {
+  constexpr std::uint64_t kFingerprint = 9;
+  const endpoint own{"127.0.0.1", socket_.local_endpoint().port()};
+  Send(target_loss_report{kFingerprint, "t1"});
+  Send(target_loss_report{kFingerprint, "t2"});
+  Send(hello_body{{"host-3", "a", {"127.0.0.1", 1}, own}});
+  std::vector<std::string> lost;
+  RunUntil([&] {
+    const std::optional<peer_datagram> message = ReceiveDatagram();
+    const target_loss_report* report =
+        message ? std::get_if<target_loss_report>(&message->body) : nullptr;
+    if (report && report->is_certain && report->fingerprint == kFingerprint) {
+      lost.push_back(report->target_id);
+    }
+    return lost.size() == 2;
+  });
+  EXPECT_EQ(lost, (std::vector<std::string>{"t1", "t2"}));
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -42,6 +42,9 @@
   void OnObservation(const observation_report& report) override {
     observations.push_back(report);
   }
+  void OnHostAnnounced(std::string_view host_id) override {
+    announced.emplace_back(host_id);
+  }
   void OnTargetLost(const target_loss_report& report) override {
     losses.push_back(report);
   }
@@ -62,6 +65,7 @@
   peer_agent agent;
   std::vector<observation_report> observations;
   std::vector<target_loss_report> losses;
+  std::vector<std::string> announced;
   std::vector<target_leaving_report> leaving_targets;
   std::vector<host_view> views;
   std::vector<suspicion_summary> summaries;
