End a message, not the process, with an exception

Cause: no code between the event loop and main() handled exceptions.

Change: each event of a connection, datagram, object of the store, question and timer runs under a guard that ends this message or connection, counts the exception and logs it at a bounded rate.

On the code before, AnExceptionCostsOneDatagram, AnExceptionCostsOneChange and GuardedConnectionTest would end the test program; that was not run.

--- a/libraries/event_loop/http_connection.cc
+++ b/libraries/event_loop/http_connection.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/http/message_writer.h"
 
 namespace bulrushshore {
@@ -128,7 +129,11 @@
       asio::buffer(receive_buffer_),
       [self = shared_from_this()](const socket_error& error, std::size_t size) {
         self->is_receiving_ = false;
-        self->OnReceived(error, size);
+        const bool is_handled =
+            RunGuarded("response", [&] { self->OnReceived(error, size); });
+        if (!is_handled) {
+          self->FailGuarded();
+        }
       });
 }
 
@@ -227,6 +232,15 @@
   Finish(failure);
 }
 
+void http_connection::FailGuarded() {
+  const bool is_reported = RunGuarded("failed response", [this] {
+    Fail(exchange_failure::kMalformedResponse);
+  });
+  if (!is_reported) {
+    Close();
+  }
+}
+
 void http_connection::Finish(exchange_outcome outcome) {
   is_busy_ = false;
   ReturnBufferedBytes();
--- a/libraries/event_loop/http_connection.h
+++ b/libraries/event_loop/http_connection.h
@@ -91,6 +91,8 @@
   void ReturnBufferedBytes();
   void Deliver(received_response response);
   void Fail(exchange_failure failure);
+  // Fails after an exception of the code that processes the response.
+  void FailGuarded();
   void Finish(exchange_outcome outcome);
 
   boost::asio::ip::tcp::socket socket_;
--- a/libraries/event_loop/http_server.cc
+++ b/libraries/event_loop/http_server.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include "libraries/base/clock.h"
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/event_loop/socket_options.h"
 #include "libraries/http/message_writer.h"
 #include "libraries/http/request_reader.h"
@@ -39,17 +40,15 @@
         self->Close();
       }
     });
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [self = shared_from_this()](const socket_error& error,
-                                    std::size_t size) {
-          if (error) {
-            self->Close();
-            return;
-          }
-          self->reader_.Append({self->buffer_.data(), size});
-          self->Answer();
-        });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](
+                                const socket_error& error, std::size_t size) {
+                              if (error) {
+                                self->Close();
+                                return;
+                              }
+                              self->AnswerGuarded(size);
+                            });
   }
 
   void Close() {
@@ -60,6 +59,17 @@
   }
 
  private:
+  // Closes the connection if its request makes the handler throw.
+  void AnswerGuarded(std::size_t received_bytes) {
+    const bool is_handled = RunGuarded("question", [this, received_bytes] {
+      reader_.Append({buffer_.data(), received_bytes});
+      Answer();
+    });
+    if (!is_handled) {
+      Close();
+    }
+  }
+
   void Answer() {
     request_read_result next = reader_.Next();
     if (std::holds_alternative<more_bytes_needed>(next)) {
@@ -89,7 +99,7 @@
                           self->Close();
                           return;
                         }
-                        self->Answer();
+                        self->AnswerGuarded(0);
                       });
   }
 
@@ -140,10 +150,13 @@
           });
           return;
         }
-        const std::shared_ptr<session> opened =
-            std::make_shared<session>(std::move(socket), *this);
-        sessions_.insert(opened);
-        opened->Receive();
+        // A connection that can't be served is closed with its socket.
+        (void)RunGuarded("connection", [&] {
+          const std::shared_ptr<session> opened =
+              std::make_shared<session>(std::move(socket), *this);
+          sessions_.insert(opened);
+          opened->Receive();
+        });
         Accept();
       });
 }
--- a/libraries/gateway/caller_session.cc
+++ b/libraries/gateway/caller_session.cc
@@ -9,6 +9,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/gateway/failure_response.h"
 #include "libraries/http/message_writer.h"
 
@@ -91,10 +92,20 @@
                        if (error || self->is_closed_) {
                          return;
                        }
-                       self->OnReadable();
+                       self->HandleGuarded([&self] { self->OnReadable(); });
                      });
 }
 
+template <typename Handle>
+void caller_session::HandleGuarded(const Handle& handle) {
+  if (RunGuarded("connection of a caller", handle)) {
+    return;
+  }
+  if (!RunGuarded("failed connection", [this] { CloseAndAbandonRequests(); })) {
+    Close();
+  }
+}
+
 void caller_session::OnReadable() {
   const std::span<char> buffer = owner_.ReceiveBuffer();
   socket_error error;
@@ -268,7 +279,7 @@
   socket_.async_write_some(
       asio::buffer(writing_) + written_bytes_,
       [self = shared_from_this()](const socket_error& error, std::size_t size) {
-        self->OnWritten(error, size);
+        self->HandleGuarded([&] { self->OnWritten(error, size); });
       });
 }
 
@@ -375,7 +386,7 @@
       std::max(next, state_.time().Now() + std::chrono::milliseconds(100)));
   timer_.async_wait([self = shared_from_this()](const socket_error& error) {
     if (!error && !self->is_closed_) {
-      self->OnTimer();
+      self->HandleGuarded([&self] { self->OnTimer(); });
     }
   });
 }
--- a/libraries/gateway/caller_session.h
+++ b/libraries/gateway/caller_session.h
@@ -90,6 +90,9 @@
   };
 
   caller_limits Limits() const;
+  // Runs the handler of an event; closes the connection if it throws.
+  template <typename Handle>
+  void HandleGuarded(const Handle& handle);
   void WaitForBytes();
   void OnReadable();
   void ReadRequests();
--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -7,6 +7,7 @@
 
 #include <xxhash.h>
 
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/gateway/failure_response.h"
 
 namespace bulrushshore {
@@ -347,8 +348,21 @@
   }
   timer_.expires_at(next);
   timer_.async_wait([self = shared_from_this()](const socket_error& error) {
-    if (!error) {
-      self->OnTimer();
+    if (error) {
+      return;
+    }
+    if (!RunGuarded("timer of a request", [&self] { self->OnTimer(); })) {
+      self->FailGuarded();
+    }
+  });
+}
+
+void exchange::FailGuarded() {
+  // If this throws, too, the end of the caller's connection ends the request.
+  (void)RunGuarded("failed request", [this] {
+    if (!is_finished_) {
+      Finish(MakeUnknownOutcomeResponse(kBadGateway, "internal_error"),
+             "unknown", "internal_error");
     }
   });
 }
--- a/libraries/gateway/exchange.h
+++ b/libraries/gateway/exchange.h
@@ -74,6 +74,8 @@
   void PerformStep(next_step step);
   void ArmTimer();
   void OnTimer();
+  // Ends the request after an exception; targets may have run it.
+  void FailGuarded();
   void OnOverdue(attempt& overdue);
   void CancelAttempts();
   void Refuse(std::string_view reason,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/event_loop/socket_options.h"
 
 namespace bulrushshore {
@@ -61,10 +62,17 @@
     });
     return;
   }
-  const std::shared_ptr<caller_session> session =
-      std::make_shared<caller_session>(std::move(socket), state_, *this);
-  sessions_.emplace(session.get(), session);
-  session->Start();
+  // A connection that can't be served is closed with its socket.
+  std::shared_ptr<caller_session> session;
+  const bool is_started = RunGuarded("connection of a caller", [&] {
+    session =
+        std::make_shared<caller_session>(std::move(socket), state_, *this);
+    sessions_.emplace(session.get(), session);
+    session->Start();
+  });
+  if (!is_started && session) {
+    session->Close();
+  }
   Accept();
 }
 
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "libraries/event_loop/message_guard.h"
 #include "libraries/event_loop/socket_options.h"
 
 namespace bulrushshore {
@@ -170,7 +171,8 @@
           return;
         }
         if (!error) {
-          OnReceived(size);
+          // A datagram that can't be processed is dropped.
+          (void)RunGuarded("datagram", [this, size] { OnReceived(size); });
         }
         Receive();
       });
@@ -309,7 +311,7 @@
       std::chrono::duration<double>(options_.step_interval) * factor));
   step_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
-      Step();
+      (void)RunGuarded("failure detector", [this] { Step(); });
       ScheduleStep();
     }
   });
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "libraries/event_loop/message_guard.h"
+
 namespace bulrushshore {
 namespace {
 
@@ -198,6 +200,10 @@
       .GetGauge("bulrush_log_lines_not_taken",
                 "Log lines that the reader of the log was too slow for.")
       .Set(static_cast<std::int64_t>(DroppedLogLines()));
+  metrics_
+      .GetGauge("bulrush_handler_exceptions",
+                "Messages and timers whose handler has thrown.")
+      .Set(static_cast<std::int64_t>(HandlerExceptions()));
   return metrics_.RenderText();
 }
 
@@ -286,8 +292,10 @@
   if (!is_leading_ || is_leaving_) {
     return;
   }
-  peers_.PublishView(OwnView());
-  PublishSuspicions();
+  (void)RunGuarded("view", [this] {
+    peers_.PublishView(OwnView());
+    PublishSuspicions();
+  });
   publish_timer_.expires_after(kViewInterval);
   publish_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
@@ -385,7 +393,7 @@
                  now + kMinMaintenanceInterval, now + kMaintenanceInterval));
   maintenance_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
-      RunMaintenance();
+      (void)RunGuarded("maintenance", [this] { RunMaintenance(); });
       ScheduleMaintenance();
     }
   });
--- a/tests/peers/peer_agent_test.cc
+++ b/tests/peers/peer_agent_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <new>
 #include <set>
 #include <variant>
 #include <vector>
@@ -40,6 +41,9 @@
               {.step_interval = milliseconds(40)}) {}
 
   void OnObservation(const observation_report& report) override {
+    if (report.target_id == "throw") {
+      throw std::bad_alloc();
+    }
     observations.push_back(report);
   }
   void OnHostAnnounced(std::string_view host_id) override {
@@ -133,6 +137,17 @@
   }
 }
 
+// Guards against an exception that ends the process, or the reading of further
+// datagrams.
+TEST_F(PeerAgentTest, AnExceptionCostsOneDatagram) {
+  hosts_[0]->agent.Report(
+      observation_report{"throw", 5, target_observation::kFailure});
+  hosts_[0]->agent.Report(
+      observation_report{"t", 5, target_observation::kFailure});
+  loop_.run_for(milliseconds(200));
+  EXPECT_EQ(hosts_[1]->observations.size(), 1U);
+}
+
 TEST_F(PeerAgentTest, ReportsAreBounded) {
   for (int report = 0; report < 1000; ++report) {
     hosts_[0]->agent.Report(
--- a/tests/platform/store_watcher_test.cc
+++ b/tests/platform/store_watcher_test.cc
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <new>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -27,6 +28,9 @@
   }
   void OnChanged(const nlohmann::json& object, bool is_deleted) override {
     const std::string name = ObjectName(object).value_or("");
+    if (name == "throw") {
+      throw std::bad_alloc();
+    }
     if (is_deleted) {
       known.erase(name);
     } else {
@@ -95,6 +99,17 @@
   EXPECT_EQ(listener_.known.size(), 5U);
 }
 
+// Guards against an exception that ends the process, or the watch.
+TEST_F(StoreWatcherTest, AnExceptionCostsOneChange) {
+  Start();
+  store_.Put("things", "throw", 1);
+  store_.Put("things", "a", 1);
+  RunUntil([this] { return listener_.known.contains("a"); });
+  store_.Put("things", "b", 1);
+  RunUntil([this] { return listener_.known.contains("b"); });
+  EXPECT_EQ(listener_.lists, 1);
+}
+
 TEST_F(StoreWatcherTest, ReadsTheListAgainWhenTheHistoryIsGone) {
   Start();
   store_.SilenceWatches();
