--- a/tests/platform/platform_host_test.cc
+++ b/tests/platform/platform_host_test.cc
@@ -37,6 +37,18 @@
   return FreeAddresses(loop, 1)[0];
 }
 
+json MakeTargetSpec(const json& zone) {
+  return {{"service", "s"},
+          {"address", "127.0.0.1:9"},
+          {"zone", zone},
+          {"version", "1"},
+          {"slots", 2},
+          {"state", "ready"},
+          {"warmup-left-ms", 0},
+          {"seq", 1},
+          {"born", 1}};
+}
+
 // Runs a host and a stand-in for the store on one event loop.
 class PlatformHostTest : public testing::Test {
  protected:
@@ -115,15 +127,7 @@
 // that it read first was seconds old, and it looked for changes only 1.5 s
 // later. The same holds for rules that were withdrawn.
 TEST_F(PlatformHostTest, RestartedHostDoesNotUseATargetThatHasLeft) {
-  const json target = {{"service", "s"},
-                       {"address", "127.0.0.1:9"},
-                       {"zone", "z-a"},
-                       {"version", "1"},
-                       {"slots", 2},
-                       {"state", "ready"},
-                       {"warmup-left-ms", 0},
-                       {"seq", 1},
-                       {"born", 1}};
+  const json target = MakeTargetSpec("z-a");
   store_.Put(platform_names::kTargetKind, "t1", target);
   PutConfiguration();
   store_.FreezeStaleReads();
@@ -192,18 +196,6 @@
   RunUntil([this] { return store_.calls("write") >= 2; });
 }
 
-json MakeTargetSpec(const json& zone) {
-  return {{"service", "s"},
-          {"address", "127.0.0.1:9"},
-          {"zone", zone},
-          {"version", "1"},
-          {"slots", 2},
-          {"state", "ready"},
-          {"warmup-left-ms", 0},
-          {"seq", 1},
-          {"born", 1}};
-}
-
 class OddObjectTest : public PlatformHostTest,
                       public testing::WithParamInterface<odd_value> {};
 
