--- a/libraries/http/http_message.cc
+++ b/libraries/http/http_message.cc
@@ -107,6 +107,7 @@
 void RemoveHopByHopHeaders(http_headers& headers) {
   // One pass with sorted names: a sender may list thousands of names.
   std::vector<std::string> removed;
+  removed.reserve(kConnectionHeaders.size());
   for (const std::string_view name : kConnectionHeaders) {
     removed.push_back(ToLowerCase(name));
   }
