--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -133,6 +133,14 @@
   bool is_invalid_ = false;
 };
 
+target_loss_report ReadTargetLoss(field_reader& reader) {
+  target_loss_report report;
+  report.fingerprint = reader.Unsigned();
+  report.target_id = reader.Text();
+  report.is_certain = !reader.HasMore() || reader.Boolean();
+  return report;
+}
+
 peer_body ReadBody(std::uint64_t type,
                    const std::string& sender,
                    field_reader& reader) {
@@ -167,13 +175,8 @@
       }
       return body;
     }
-    case 6: {
-      target_loss_report body;
-      body.fingerprint = reader.Unsigned();
-      body.target_id = reader.Text();
-      body.is_certain = !reader.HasMore() || reader.Boolean();
-      return body;
-    }
+    case 6:
+      return ReadTargetLoss(reader);
     case 7: {
       const std::uint64_t rules_version = reader.Unsigned();
       return host_view{rules_version, reader.Unsigned()};
