Review case 10: followers read old targets while a service is released

While targets change more often than once a second, a host stops acting on a leader's view that differs after two checks, and is as old as the old answers that the store may give it.

--- a/review/stand_ins_2/cases.h
+++ b/review/stand_ins_2/cases.h
@@ -16,12 +16,13 @@
 int RunLargeBodies(const setting& shared, record& log);
 // The host that leads its zone is cut off from the store.
 int RunLeaderCut(const setting& shared, record& log);
-// All hosts are killed and start again while the store is down.
-int RunBodyLimit(const setting& shared, record& log);
 
 // A request crashes the upstreams that run it, and comes again.
 int RunCrashingRequest(const setting& shared, record& log);
 
+// The upstreams of a service are replaced one after the other.
+int RunReleaseLag(const setting& shared, record& log);
+
 }  // namespace review
 
 #endif  // REVIEW_STAND_INS_2_CASES_H_
--- a/review/stand_ins_2/fleet.cc
+++ b/review/stand_ins_2/fleet.cc
@@ -171,15 +171,17 @@
   Report("ready");
 }
 
-void upstream::Report(const std::string& state) {
-  platform_.Put("servers", id_,
-                json::parse(FillIn(shared_, "server.json",
-                                   {{"SERVICE", service_},
-                                    {"ADDRESS", server_.at().Text()},
-                                    {"ZONE", "nl-west-a"},
-                                    {"STATE", state},
-                                    {"SEQ", std::to_string(++sequence_)},
-                                    {"BORN", std::to_string(born_)}})));
+void upstream::Report(const std::string& state, milliseconds warm_up_left) {
+  platform_.Put(
+      "servers", id_,
+      json::parse(FillIn(shared_, "server.json",
+                         {{"SERVICE", service_},
+                          {"ADDRESS", server_.at().Text()},
+                          {"ZONE", "nl-west-a"},
+                          {"STATE", state},
+                          {"WARM", std::to_string(warm_up_left.count())},
+                          {"SEQ", std::to_string(++sequence_)},
+                          {"BORN", std::to_string(born_)}})));
 }
 
 void upstream::CrashOn(const std::string& host_name,
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -114,7 +114,9 @@
   upstream(const upstream&) = delete;
   upstream& operator=(const upstream&) = delete;
 
-  void Report(const std::string& state);
+  // Writes the entry. `warm_up_left` says how much longer it is slow.
+  void Report(const std::string& state,
+              milliseconds warm_up_left = milliseconds(0));
 
   // From now on, a run of a request at `path` of the host `host_name` crashes
   // this upstream: its connections end, new ones are refused, and it says
@@ -123,6 +125,9 @@
                const std::string& path,
                milliseconds down_time);
 
+  // Ends the process for good.
+  void Stop() { server_.Cut(); }
+
   // Starts again if the time has come. Call it often.
   void Recover();
 
--- a/review/stand_ins_2/main.cc
+++ b/review/stand_ins_2/main.cc
@@ -22,12 +22,12 @@
   if (name == "leader_cut") {
     return RunLeaderCut(shared, log);
   }
-  if (name == "body_limit") {
-    return RunBodyLimit(shared, log);
-  }
   if (name == "crashing_request") {
     return RunCrashingRequest(shared, log);
   }
+  if (name == "release_lag") {
+    return RunReleaseLag(shared, log);
+  }
   return kCouldNotRun;
 }
 
