--- a/review/stand_ins_2/http_service.cc
+++ b/review/stand_ins_2/http_service.cc
@@ -48,6 +48,13 @@
   }
 }
 
+void http_service::SilenceOpen() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const std::shared_ptr<stream>& peer : peers_) {
+    peer->Silence();
+  }
+}
+
 void http_service::Run() {
   while (!is_stopping_) {
     int listener = -1;
--- a/review/stand_ins_2/http_service.h
+++ b/review/stand_ins_2/http_service.h
@@ -32,6 +32,9 @@
   void Cut();
   void Open();
 
+  // All open connections go silent for good; new ones work.
+  void SilenceOpen();
+
  private:
   void Run();
   void Serve(const std::shared_ptr<stream>& peer);
--- a/review/stand_ins_2/http_text.cc
+++ b/review/stand_ins_2/http_text.cc
@@ -108,6 +108,9 @@
 }
 
 bool stream::Write(std::string_view bytes) const {
+  if (is_silent_) {
+    return true;
+  }
   while (!bytes.empty()) {
     const ssize_t sent =
         send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/review/stand_ins_2/http_text.h
+++ b/review/stand_ins_2/http_text.h
@@ -1,6 +1,7 @@
 #ifndef REVIEW_STAND_INS_2_HTTP_TEXT_H_
 #define REVIEW_STAND_INS_2_HTTP_TEXT_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -52,6 +53,9 @@
   read_result Read(http_text& message, steady::time_point until);
   // Ends the connection for its reader, too; the socket stays owned.
   void Shutdown() const;
+  // From now on, what is written is dropped, as on a connection that has gone
+  // silent.
+  void Silence() { is_silent_ = true; }
   void Close();
 
  private:
@@ -61,6 +65,7 @@
   int socket_ = -1;
   std::string buffer_;
   bool is_ended_ = false;
+  std::atomic<bool> is_silent_{false};
 };
 
 // Returns a listening socket, or -1. Port 0 takes a free one, which is stored.
--- a/review/stand_ins_2/main.cc
+++ b/review/stand_ins_2/main.cc
@@ -16,9 +16,6 @@
   if (name == "most_hosts_lost") {
     return RunMostHostsLost(shared, log);
   }
-  if (name == "large_bodies") {
-    return RunLargeBodies(shared, log);
-  }
   if (name == "leader_cut") {
     return RunLeaderCut(shared, log);
   }
@@ -28,6 +25,9 @@
   if (name == "release_lag") {
     return RunReleaseLag(shared, log);
   }
+  if (name == "silent_store") {
+    return RunSilentStore(shared, log);
+  }
   return kCouldNotRun;
 }
 
