Do not take a reset during an upload for the end of a response

What callers saw: a target responded to a long upload at once with a 200 without a length, sent a part of the body and reset the connection. Callers got the part as a whole 200.

Cause: the system reports the loss of a connection once. The pending write met it, and its error was dropped; the read then met an end of stream, which completes a response without a length.

Change: http_connection keeps the error of the write. An end of stream is the peer's only if the write did not fail, or failed with EPIPE: the system reports that if the peer had ended its side in order before. A connection whose write failed is not used again.

--- a/libraries/event_loop/http_connection.cc
+++ b/libraries/event_loop/http_connection.cc
@@ -115,6 +115,7 @@
         if (error) {
           // The peer may have answered before it stopped reading; the receiving
           // side decides how the exchange ends.
+          self->send_failure_ = error;
           self->is_reusable_ = false;
         }
       });
@@ -163,8 +164,7 @@
     Receive();
     return;
   }
-  const bool is_orderly_end = error == asio::error::eof;
-  if (is_orderly_end && reader_.HasStarted() &&
+  if (IsEndOfPeer(error) && reader_.HasStarted() &&
       reader_.FinishAtEnd() == response_read_state::kComplete) {
     received_response received = reader_.TakeResponse();
     received.is_keep_alive = false;
@@ -177,6 +177,14 @@
                             : exchange_failure::kClosedBeforeResponse);
 }
 
+bool http_connection::IsEndOfPeer(const socket_error& read_error) const {
+  // The system reports the loss of a connection once. If the write meets it,
+  // the next read returns an end of stream that the peer did not send. A write
+  // behind an end that the peer did send fails with broken_pipe.
+  return read_error == asio::error::eof &&
+         (!send_failure_ || send_failure_ == asio::error::broken_pipe);
+}
+
 bool http_connection::TakeExpectedResponse(response_read_state state) {
   while (state == response_read_state::kComplete) {
     received_response received = reader_.TakeResponse();
@@ -219,8 +227,8 @@
 }
 
 void http_connection::Deliver(received_response response) {
-  is_reusable_ =
-      response.is_keep_alive && !reader_.HasExtraBytes() && !is_sending_;
+  is_reusable_ = response.is_keep_alive && !reader_.HasExtraBytes() &&
+                 !is_sending_ && !send_failure_;
   Finish(std::move(response));
 }
 
--- a/libraries/event_loop/http_connection.h
+++ b/libraries/event_loop/http_connection.h
@@ -84,6 +84,8 @@
   void Send();
   void Receive();
   void OnReceived(const socket_error& error, std::size_t size);
+  // Returns true if the peer ended its side of the connection in order.
+  bool IsEndOfPeer(const socket_error& read_error) const;
   bool TakeExpectedResponse(response_read_state state);
   // Accounts for the bytes that the reader holds. Returns false if they exceed
   // the budget.
@@ -109,6 +111,8 @@
   std::size_t buffered_bytes_ = 0;
   // Number of responses passed over in the present exchange.
   int foreign_responses_ = 0;
+  // Why the request could not be written as a whole.
+  socket_error send_failure_;
   bool is_head_ = false;
   bool is_busy_ = false;
   bool is_reusable_ = false;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -69,6 +69,7 @@
       std::chrono::milliseconds timeout = std::chrono::milliseconds(1000)) {
     rule_set rules;
     rules.version = ++version_;
+    rules.limits = limits_;
     for (const bool is_idempotent : {true, false}) {
       route_rule route;
       route.name = is_idempotent ? "read" : "pay";
@@ -178,6 +179,7 @@
   endpoint address_;
   std::array<char, 16384> buffer_{};
   std::uint64_t version_ = 0;
+  caller_limits limits_;
 };
 
 }  // namespace bulrushshore
