Refuse responses with a status outside of 100 to 599, and 101

What callers saw: a target answered with status 000 and a body that reads like a 200. The caller got that 200.

Cause: every status below 200 counted as an interim response, which ends with its head, so that the bytes behind it were read as the response.

Change: response_reader refuses statuses that RFC 9110 does not define, and 101, because requests ask for no upgrade of the connection.

--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -17,7 +17,10 @@
 using beast_response_parser = beast_http::response_parser<growing_body>;
 
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 // A response is preceded by one or two interim responses at most. More of them
 // are a sender that does not stop.
@@ -82,6 +85,13 @@
          state_->parser.get().result_int() < kFirstFinalStatus;
 }
 
+bool response_reader::IsStatusValid() const {
+  // Requests ask for no upgrade, so no protocol can follow 101.
+  const unsigned status = state_->parser.get().result_int();
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
 bool response_reader::IsStatedBodyTooLong() const {
   const boost::optional<std::uint64_t> stated = state_->parser.content_length();
   return !state_->parser.is_done() && stated && *stated > max_body_bytes_;
@@ -103,7 +113,7 @@
       return response_read_state::kMalformed;
     }
     if (state_->parser.is_header_done()) {
-      if (IsStatedBodyTooLong()) {
+      if (!IsStatusValid() || IsStatedBodyTooLong()) {
         return response_read_state::kMalformed;
       }
       state_->parser.eager(true);
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -62,6 +62,9 @@
   struct parser_state;
 
   bool IsInterim() const;
+  // Returns true if the status is one that a response without an upgrade of the
+  // connection can have. Precondition: the header was read.
+  bool IsStatusValid() const;
   // Returns true if the header states a body that exceeds the limit.
   // Precondition: the header was read.
   bool IsStatedBodyTooLong() const;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -620,5 +620,95 @@
                                          "0x41",
                                          ""));
 
+// A head that HTTP does not allow, and the bytes behind it.
+struct invalid_head {
+  const char* name;
+  std::string head;
+  std::string body =
+      "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\n"
+      "Content-Length: 6\r\n\r\nforged";
+};
+
+void PrintTo(const invalid_head& response, std::ostream* out) {
+  *out << response.name;
+}
+
+class InvalidHeadTest : public GatewayTest,
+                        public testing::WithParamInterface<invalid_head> {};
+
+// Guards against a response that is not HTTP and reaches the caller, and
+// against its body, which is delivered as if it were a response of its own.
+TEST_P(InvalidHeadTest, IsNotDelivered) {
+  ApplyRules();
+  scripted_target& target = AddTarget("t1", [](const proxy_request&) {
+    return scripted_reply{.bytes = GetParam().head + "\r\n" + GetParam().body,
+                          .closes_after = true};
+  });
+  SendRequest("/pay/x", "1", "POST");
+  const std::vector<proxy_response> responses = Receive();
+  ASSERT_EQ(responses.size(), 1U);
+  EXPECT_EQ(responses[0].status, 502);
+  EXPECT_EQ(reporter_.observations,
+            std::vector{target_observation::kInvalidResponse});
+  EXPECT_EQ(target.requests().size(), 1U);
+}
+
+// Guards against such a response on a connection that has carried others, and
+// in pieces, of which the first ends behind the head.
+TEST_P(InvalidHeadTest, IsNotDeliveredOnAReusedConnection) {
+  ApplyRules();
+  scripted_target& target =
+      AddTarget("t1", [](const proxy_request& request) -> scripted_reply {
+        if (request.target == "/pay/first") {
+          return scripted_target::Success(request);
+        }
+        return {.bytes = GetParam().head + "\r\n",
+                .next_bytes = GetParam().body,
+                .closes_after = true};
+      });
+  SendRequest("/pay/first", "0", "POST");
+  EXPECT_EQ(Receive()[0].status, 200);
+  SendRequest("/pay/x", "1", "POST");
+  const std::vector<proxy_response> responses = Receive();
+  ASSERT_EQ(responses.size(), 1U);
+  EXPECT_EQ(responses[0].status, 502);
+  EXPECT_EQ(target.connections_accepted(), 1);
+}
+
+std::string SignedHead(const std::string& status_and_fields) {
+  return "HTTP/1.1 " + status_and_fields +
+         "\r\nX-Attempt: 1\r\nX-Signature: s\r\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses,
+    InvalidHeadTest,
+    testing::Values(
+        invalid_head{"status_000", SignedHead("000 Trouble")},
+        invalid_head{"status_000_with_length",
+                     SignedHead("000 Trouble\r\nContent-Length: 6"), "forged"},
+        invalid_head{"status_099", SignedHead("099 Trouble")},
+        invalid_head{"status_600", SignedHead("600 Trouble")},
+        invalid_head{"status_999", SignedHead("999 Trouble")},
+        invalid_head{"status_of_two_digits", SignedHead("20 OK")},
+        invalid_head{"status_of_four_digits", SignedHead("2000 OK")},
+        invalid_head{"switching_protocols",
+                     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"}));
+
+// Guards against interim responses that are taken for the response.
+TEST_F(GatewayTest, PassesOverInterimResponsesOfTargets) {
+  ApplyRules();
+  AddTarget("t1", [](const proxy_request& request) {
+    scripted_reply reply = scripted_target::Success(request);
+    reply.bytes =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+        "Link: </x>\r\n\r\n" +
+        reply.bytes;
+    return reply;
+  });
+  SendRequest("/pay/x", "1", "POST");
+  EXPECT_EQ(Receive()[0].body, "ok");
+}
+
 }  // namespace
 }  // namespace bulrushshore
--- a/tests/gateway/scripted_target.cc
+++ b/tests/gateway/scripted_target.cc
@@ -13,6 +13,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::chrono::milliseconds kPauseBetweenPieces{10};
+
+}  // namespace
+
 struct scripted_target::connection {
   explicit connection(asio::ip::tcp::socket accepted)
       : socket(std::move(accepted)), timer(socket.get_executor()), reader({}) {}
@@ -104,19 +110,40 @@
   asio::async_write(
       peer->socket, asio::buffer(peer->outgoing),
       [this, peer, reply](const socket_error&, std::size_t) {
-        if (!reply.endless_bytes.empty()) {
-          SendEndlessly(peer, reply.endless_bytes);
-        }
-        if (!reply.closes_after) {
+        if (reply.next_bytes.empty()) {
+          End(peer, reply);
           return;
         }
-        if (reply.resets) {
-          peer->socket.set_option(asio::socket_base::linger(true, 0));
-        }
-        peer->socket.close();
+        peer->timer.expires_after(kPauseBetweenPieces);
+        peer->timer.async_wait([this, peer, reply](const socket_error&) {
+          SendNext(peer, reply);
+        });
       });
 }
 
+void scripted_target::SendNext(const std::shared_ptr<connection>& peer,
+                               const scripted_reply& reply) {
+  peer->outgoing = reply.next_bytes;
+  asio::async_write(peer->socket, asio::buffer(peer->outgoing),
+                    [this, peer, reply](const socket_error&, std::size_t) {
+                      End(peer, reply);
+                    });
+}
+
+void scripted_target::End(const std::shared_ptr<connection>& peer,
+                          const scripted_reply& reply) {
+  if (!reply.endless_bytes.empty()) {
+    SendEndlessly(peer, reply.endless_bytes);
+  }
+  if (!reply.closes_after) {
+    return;
+  }
+  if (reply.resets) {
+    peer->socket.set_option(asio::socket_base::linger(true, 0));
+  }
+  peer->socket.close();
+}
+
 void scripted_target::SendEndlessly(const std::shared_ptr<connection>& peer,
                                     const std::string& bytes) {
   peer->outgoing = bytes;
--- a/tests/gateway/scripted_target.h
+++ b/tests/gateway/scripted_target.h
@@ -20,6 +20,8 @@
 struct scripted_reply {
   // Sent unchanged; nothing is sent if empty.
   std::string bytes;
+  // Sent some milliseconds after `bytes`; nothing is sent if empty.
+  std::string next_bytes{};
   // Sent after `bytes` again and again, until the other side closes the
   // connection; nothing is sent if empty.
   std::string endless_bytes{};
@@ -62,6 +64,10 @@
   void Receive(const std::shared_ptr<connection>& peer);
   void Reply(const std::shared_ptr<connection>& peer,
              const scripted_reply& reply);
+  void SendNext(const std::shared_ptr<connection>& peer,
+                const scripted_reply& reply);
+  void End(const std::shared_ptr<connection>& peer,
+           const scripted_reply& reply);
 
   boost::asio::io_context& loop_;
   script reply_;
--- a/tests/http/response_reader_test.cc
+++ b/tests/http/response_reader_test.cc
@@ -172,5 +172,30 @@
   EXPECT_TRUE(reader.TakeResponse().response.body.empty());
 }
 
+// Guards against a body that is read as a response because the one before it
+// looked like an interim response.
+TEST(ResponseReaderTest, RefusesStatusesThatEndNoExchange) {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    for (const bool is_head : {false, true}) {
+      response_reader reader(kMaxBody);
+      reader.Start(is_head);
+      EXPECT_EQ(reader.Feed("HTTP/1.1 " + std::string(status) + " X\r\n\r\n"),
+                response_read_state::kMalformed)
+          << status;
+    }
+  }
+}
+
+// Guards against an interim response that completes an exchange.
+TEST(ResponseReaderTest, AnInterimResponseIsNotTheEnd) {
+  for (const bool is_head : {false, true}) {
+    response_reader reader(kMaxBody);
+    reader.Start(is_head);
+    EXPECT_EQ(reader.Feed("HTTP/1.1 100 Continue\r\n\r\n"),
+              response_read_state::kIncomplete);
+    EXPECT_EQ(reader.FinishAtEnd(), response_read_state::kMalformed);
+  }
+}
+
 }  // namespace
 }  // namespace bulrushshore
