Refuse responses whose header does not say where they end

Effect: a part of a body in an unknown transfer coding reached the caller as a whole 200 when the connection ended; a body in a further coding than chunked reached it without the field that names the coding; the body of an interim response was read as the response.

Cause: Boost.Beast knows chunked only and takes other codings as they are, and ends 1xx and 204 with their heads whatever length they state.

Change: response_reader takes Transfer-Encoding only as chunked, once, in HTTP/1.1, and refuses a body that is stated for 1xx or 204.

PassesOverInterimResponsesOfTargets held.

--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -20,7 +20,9 @@
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
 constexpr unsigned kLastStatus = 599;
+constexpr unsigned kHttp11 = 11;
 
 // A response is preceded by one or two interim responses at most. More of them
 // are a sender that does not stop.
@@ -92,6 +94,23 @@
          status != kSwitchingProtocols;
 }
 
+bool response_reader::IsFramingValid() const {
+  const beast_http::response<growing_body>& head = state_->parser.get();
+  const std::size_t codings = head.count(beast_http::field::transfer_encoding);
+  const bool has_body_by_status =
+      !IsInterim() && head.result_int() != kNoContent;
+  if (!has_body_by_status) {
+    return codings == 0 && state_->parser.content_length().value_or(0) == 0;
+  }
+  // The parser takes a body in a coding that it does not know as it is, up to
+  // the stated length or the end of the connection.
+  return codings == 0 ||
+         (codings == 1 && head.version() >= kHttp11 &&
+          EqualsIgnoringCase(
+              ToStringView(head[beast_http::field::transfer_encoding]),
+              "chunked"));
+}
+
 bool response_reader::IsStatedBodyTooLong() const {
   const boost::optional<std::uint64_t> stated = state_->parser.content_length();
   return !state_->parser.is_done() && stated && *stated > max_body_bytes_;
@@ -113,7 +132,7 @@
       return response_read_state::kMalformed;
     }
     if (state_->parser.is_header_done()) {
-      if (!IsStatusValid() || IsStatedBodyTooLong()) {
+      if (!IsStatusValid() || !IsFramingValid() || IsStatedBodyTooLong()) {
         return response_read_state::kMalformed;
       }
       state_->parser.eager(true);
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -65,6 +65,9 @@
   // Returns true if the status is one that a response without an upgrade of the
   // connection can have. Precondition: the header was read.
   bool IsStatusValid() const;
+  // Returns true if the header states where the response ends, in the one way
+  // that fits its status. Precondition: the header was read.
+  bool IsFramingValid() const;
   // Returns true if the header states a body that exceeds the limit.
   // Precondition: the header was read.
   bool IsStatedBodyTooLong() const;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -695,6 +695,45 @@
         invalid_head{"switching_protocols",
                      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"}));
 
+INSTANTIATE_TEST_SUITE_P(
+    Framings,
+    InvalidHeadTest,
+    testing::Values(
+        invalid_head{"interim_response_with_length",
+                     "HTTP/1.1 103 Early Hints\r\nContent-Length: 85\r\n"},
+        invalid_head{
+            "interim_response_in_chunks",
+            "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n"},
+        invalid_head{"no_content_with_length",
+                     SignedHead("204 No Content\r\nContent-Length: 6"),
+                     "forged"},
+        invalid_head{"no_content_in_chunks",
+                     SignedHead("204 No Content\r\nTransfer-Encoding: chunked"),
+                     "6\r\nforged\r\n0\r\n\r\n"},
+        invalid_head{"unknown_transfer_coding",
+                     SignedHead("200 OK\r\nTransfer-Encoding: gzip"), "part"},
+        invalid_head{"unknown_transfer_coding_with_length",
+                     SignedHead("200 OK\r\nTransfer-Encoding: gzip\r\n"
+                                "Content-Length: 6"),
+                     "forged"},
+        invalid_head{"empty_transfer_coding",
+                     SignedHead("200 OK\r\nTransfer-Encoding:"), "part"},
+        invalid_head{"two_transfer_codings",
+                     SignedHead("200 OK\r\nTransfer-Encoding: gzip, chunked"),
+                     "6\r\nforged\r\n0\r\n\r\n"},
+        invalid_head{"two_transfer_coding_fields",
+                     SignedHead("200 OK\r\nTransfer-Encoding: gzip\r\n"
+                                "Transfer-Encoding: chunked"),
+                     "6\r\nforged\r\n0\r\n\r\n"},
+        invalid_head{"chunks_and_length",
+                     SignedHead("200 OK\r\nTransfer-Encoding: chunked\r\n"
+                                "Content-Length: 6"),
+                     "6\r\nforged\r\n0\r\n\r\n"},
+        invalid_head{"chunks_in_http_1_0",
+                     "HTTP/1.0 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\n"
+                     "Transfer-Encoding: chunked\r\n",
+                     "6\r\nforged\r\n0\r\n\r\n"}));
+
 // Guards against interim responses that are taken for the response.
 TEST_F(GatewayTest, PassesOverInterimResponsesOfTargets) {
   ApplyRules();
