--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -734,6 +734,35 @@
                      "Transfer-Encoding: chunked\r\n",
                      "6\r\nforged\r\n0\r\n\r\n"}));
 
+INSTANTIATE_TEST_SUITE_P(
+    FieldNames,
+    InvalidHeadTest,
+    testing::Values(
+        invalid_head{"blank_in_a_name", SignedHead("200 OK\r\nBad Name: x")},
+        invalid_head{"blank_behind_a_name",
+                     SignedHead("200 OK\r\nContent-Length : 6"), "forged"},
+        invalid_head{"tab_behind_a_name",
+                     SignedHead("200 OK\r\nTransfer-Encoding\t: chunked"),
+                     "6\r\nforged\r\n0\r\n\r\n"},
+        invalid_head{"blank_before_the_first_name",
+                     SignedHead("200 OK\r\n Content-Length: 6"), "forged"},
+        invalid_head{"control_byte_in_a_name",
+                     SignedHead("200 OK\r\nContent-Length\x01: 6"), "forged"},
+        invalid_head{
+            "null_byte_in_a_name",
+            SignedHead(std::string("200 OK\r\nContent-Length\0: 6", 26)),
+            "forged"},
+        invalid_head{"delete_byte_in_a_name",
+                     SignedHead("200 OK\r\nBad\x7fName: x"), "part"},
+        invalid_head{"empty_name", SignedHead("200 OK\r\n: x"), "part"},
+        invalid_head{"line_without_colon", SignedHead("200 OK\r\nBad"), "part"},
+        invalid_head{"line_feed_alone",
+                     SignedHead("200 OK\r\nX: y\nContent-Length: 6"), "forged"},
+        invalid_head{"control_byte_in_a_value",
+                     SignedHead("200 OK\r\nContent-Type: \x01"), "part"},
+        invalid_head{"control_byte_in_the_reason", SignedHead("200 O\x01K"),
+                     "part"}));
+
 // Guards against interim responses that are taken for the response.
 TEST_F(GatewayTest, PassesOverInterimResponsesOfTargets) {
   ApplyRules();
