Read the responses of targets in bulrushd with response_reader

Effect: bulrushd relayed as a whole 200: a chunked body with a chunk that was longer or shorter than stated, chunk framing as a body (the line with Transfer-Encoding had a blank or a control byte in its name and was skipped), heads with such names, a length in percent coding, 204 with a body. It resolved percent coding in values, so that %0D%0A became a line end.

Change: client_connection (before: target_connection) leaves opening and closing the connection to cpp-httplib and reads with response_reader, as bulrush_edge does. It moves to a library of its own, http_client, because the store client, the probes and the caller library have the same fault.

--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -16,7 +16,6 @@
 namespace beast_http = boost::beast::http;
 using beast_response_parser = beast_http::response_parser<growing_body>;
 
-constexpr std::uint32_t kMaxHeaderBytes = 65'536;
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -59,14 +58,16 @@
   beast_response_parser parser;
 };
 
-response_reader::response_reader(std::uint64_t max_body_bytes)
-    : max_body_bytes_(max_body_bytes) {}
+response_reader::response_reader(std::uint64_t max_body_bytes,
+                                 std::uint32_t max_header_bytes)
+    : max_body_bytes_(max_body_bytes), max_header_bytes_(max_header_bytes) {}
 
 response_reader::~response_reader() = default;
 
 void response_reader::Start(bool is_head) {
   is_head_ = is_head;
   has_started_ = false;
+  is_too_large_ = false;
   interim_responses_ = 0;
   ResetParser();
 }
@@ -77,7 +78,7 @@
   // checked before the body is read: in eager mode it goes on after it has
   // noticed that the length exceeds body_limit().
   state_->parser.eager(false);
-  state_->parser.header_limit(kMaxHeaderBytes);
+  state_->parser.header_limit(max_header_bytes_);
   state_->parser.body_limit(max_body_bytes_);
   state_->parser.skip(is_head_);
 }
@@ -129,10 +130,13 @@
       return response_read_state::kIncomplete;
     }
     if (error) {
+      is_too_large_ = error == beast_http::error::header_limit ||
+                      error == beast_http::error::body_limit;
       return response_read_state::kMalformed;
     }
     if (state_->parser.is_header_done()) {
-      if (!IsStatusValid() || !IsFramingValid() || IsStatedBodyTooLong()) {
+      is_too_large_ = IsStatedBodyTooLong();
+      if (!IsStatusValid() || !IsFramingValid() || is_too_large_) {
         return response_read_state::kMalformed;
       }
       state_->parser.eager(true);
@@ -160,6 +164,11 @@
   return buffer_.size() + body_bytes;
 }
 
+bool response_reader::EndsWithConnection() const {
+  return state_ && state_->parser.is_header_done() &&
+         !state_->parser.is_done() && state_->parser.need_eof();
+}
+
 response_read_state response_reader::FinishAtEnd() {
   assert(state_);
   if (!state_->parser.is_header_done()) {
@@ -174,6 +183,10 @@
 received_response response_reader::TakeResponse() {
   received_response received;
   received.is_keep_alive = state_->parser.keep_alive();
+  if (const boost::optional<std::uint64_t> stated =
+          state_->parser.content_length()) {
+    received.stated_length = *stated;
+  }
   beast_http::response<growing_body> message = state_->parser.release();
   state_.reset();
   received.response.status = static_cast<int>(message.result_int());
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -18,6 +18,8 @@
   bool is_keep_alive = true;
   // How long the sender keeps the idle connection open, if it says so.
   std::optional<std::chrono::seconds> keep_alive_timeout;
+  // The length that the header states, also if the response has no body.
+  std::optional<std::uint64_t> stated_length;
 };
 
 enum class response_read_state { kIncomplete, kComplete, kMalformed };
@@ -25,8 +27,12 @@
 // Reads the responses of one connection, one after the other. Not thread safe.
 class response_reader {
  public:
-  // A response with a longer body, stated or received, is malformed.
-  explicit response_reader(std::uint64_t max_body_bytes);
+  static constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+
+  // A response with a longer body, stated or received, or a longer header is
+  // malformed.
+  explicit response_reader(std::uint64_t max_body_bytes,
+                           std::uint32_t max_header_bytes = kMaxHeaderBytes);
   ~response_reader();
   response_reader(const response_reader&) = delete;
   response_reader& operator=(const response_reader&) = delete;
@@ -46,6 +52,13 @@
   // The connection ended in order, which completes a response without length.
   response_read_state FinishAtEnd();
 
+  // Returns true if the response is malformed because it exceeds a limit.
+  bool IsTooLarge() const { return is_too_large_; }
+
+  // Returns true if the header was read and states no length, so that only the
+  // end of the connection completes the response.
+  bool EndsWithConnection() const;
+
   // Returns the response. Precondition: the state is kComplete.
   received_response TakeResponse();
 
@@ -74,8 +87,10 @@
   void ResetParser();
 
   std::uint64_t max_body_bytes_;
+  std::uint32_t max_header_bytes_;
   bool is_head_ = false;
   bool has_started_ = false;
+  bool is_too_large_ = false;
   int interim_responses_ = 0;
   std::string buffer_;
   std::unique_ptr<parser_state> state_;
--- a/libraries/proxy/caller_connection.h
+++ b/libraries/proxy/caller_connection.h
@@ -11,7 +11,7 @@
 
 #include "libraries/base/clock.h"
 #include "libraries/http/http_message.h"
-#include "libraries/proxy/exchange_stream.h"
+#include "libraries/http_client/exchange_stream.h"
 #include "libraries/proxy/outcome.h"
 #include "libraries/proxy/request_head.h"
 
--- a/libraries/proxy/caller_server.cc
+++ b/libraries/proxy/caller_server.cc
@@ -9,7 +9,7 @@
 
 #include <httplib.h>
 
-#include "libraries/proxy/exchange_stream.h"
+#include "libraries/http_client/exchange_stream.h"
 #include "libraries/telemetry/log.h"
 
 namespace bulrushshore {
--- a/libraries/proxy/target_client.cc
+++ b/libraries/proxy/target_client.cc
@@ -5,6 +5,41 @@
 #include <utility>
 
 namespace bulrushshore {
+namespace {
+
+failure_point ToFailurePoint(client_failure failure) {
+  switch (failure) {
+    case client_failure::kConnectFailed:
+      return failure_point::kConnectFailed;
+    case client_failure::kNothingSent:
+      return failure_point::kNothingSent;
+    case client_failure::kClosedBeforeResponse:
+      return failure_point::kClosedBeforeResponse;
+    case client_failure::kClosedDuringResponse:
+      return failure_point::kClosedDuringResponse;
+    case client_failure::kResponseTimeout:
+      return failure_point::kResponseTimeout;
+    case client_failure::kCancelled:
+      return failure_point::kCancelled;
+    case client_failure::kResponseMalformed:
+      return failure_point::kResponseMalformed;
+    case client_failure::kResponseTooLarge:
+      return failure_point::kResponseTooLarge;
+    case client_failure::kResponseUnframed:
+      return failure_point::kResponseUnframed;
+  }
+  return failure_point::kResponseMalformed;
+}
+
+std::variant<proxy_response, failure_point> ToOutcome(
+    std::variant<proxy_response, client_failure> outcome) {
+  if (const client_failure* failure = std::get_if<client_failure>(&outcome)) {
+    return ToFailurePoint(*failure);
+  }
+  return std::get<proxy_response>(std::move(outcome));
+}
+
+}  // namespace
 
 target_client::target_client(const target_client_options& options,
                              const clock& source)
@@ -16,7 +51,7 @@
   if (remaining <= std::chrono::milliseconds(0)) {
     return {failure_point::kNothingSent, false};
   }
-  std::unique_ptr<target_connection> connection = TakeConnection(request);
+  std::unique_ptr<client_connection> connection = TakeConnection(request);
   if (connection == nullptr) {
     return {failure_point::kConnectionLimit, false};
   }
@@ -24,8 +59,8 @@
                               std::to_string(remaining.count()));
   exchange_result result;
   result.was_connection_reused = connection->IsReusable();
-  result.outcome = connection->Exchange(request.message, request.deadline,
-                                        request.cancel_socket);
+  result.outcome = ToOutcome(connection->Exchange(
+      request.message, request.deadline, request.cancel_socket));
   ReturnConnection(request.address, std::move(connection));
   return result;
 }
@@ -46,13 +81,13 @@
   }
 }
 
-std::unique_ptr<target_connection> target_client::TakeConnection(
+std::unique_ptr<client_connection> target_client::TakeConnection(
     const exchange_request& request) {
   const std::lock_guard<std::mutex> lock(mutex_);
   CloseExpired(clock_.Now());
   target_pool& pool = pools_[FormatEndpoint(request.address)];
   if (!request.needs_new_connection) {
-    std::unique_ptr<target_connection> pooled = TakeIdle(pool);
+    std::unique_ptr<client_connection> pooled = TakeIdle(pool);
     if (pooled != nullptr) {
       ++pool.in_use;
       return pooled;
@@ -67,14 +102,14 @@
     pool.idle.erase(pool.idle.begin());
   }
   ++pool.in_use;
-  return std::make_unique<target_connection>(request.address, options_.limits,
+  return std::make_unique<client_connection>(request.address, options_.limits,
                                              clock_);
 }
 
-std::unique_ptr<target_connection> target_client::TakeIdle(target_pool& pool) {
+std::unique_ptr<client_connection> target_client::TakeIdle(target_pool& pool) {
   while (!pool.idle.empty()) {
     // The most recently used connection is the least likely to be stale.
-    std::unique_ptr<target_connection> connection =
+    std::unique_ptr<client_connection> connection =
         std::move(pool.idle.back().connection);
     pool.idle.pop_back();
     if (connection->IsReusable()) {
@@ -86,7 +121,7 @@
 
 void target_client::ReturnConnection(
     const endpoint& address,
-    std::unique_ptr<target_connection> connection) {
+    std::unique_ptr<client_connection> connection) {
   const bool is_reusable = connection->IsReusable();
   const std::lock_guard<std::mutex> lock(mutex_);
   target_pool& pool = pools_[FormatEndpoint(address)];
--- a/libraries/proxy/target_client.h
+++ b/libraries/proxy/target_client.h
@@ -14,9 +14,9 @@
 #include "libraries/base/clock.h"
 #include "libraries/base/endpoint.h"
 #include "libraries/http/http_message.h"
-#include "libraries/proxy/exchange_stream.h"
+#include "libraries/http_client/client_connection.h"
+#include "libraries/http_client/exchange_stream.h"
 #include "libraries/proxy/outcome.h"
-#include "libraries/proxy/target_connection.h"
 
 namespace bulrushshore {
 
@@ -67,7 +67,7 @@
 
  private:
   struct idle_connection {
-    std::unique_ptr<target_connection> connection;
+    std::unique_ptr<client_connection> connection;
     time_point since;
   };
   struct target_pool {
@@ -77,11 +77,11 @@
 
   // Returns null if the target's limit is reached. The connection is open if
   // it is a pooled one.
-  std::unique_ptr<target_connection> TakeConnection(
+  std::unique_ptr<client_connection> TakeConnection(
       const exchange_request& request);
-  std::unique_ptr<target_connection> TakeIdle(target_pool& pool);
+  std::unique_ptr<client_connection> TakeIdle(target_pool& pool);
   void ReturnConnection(const endpoint& address,
-                        std::unique_ptr<target_connection> connection);
+                        std::unique_ptr<client_connection> connection);
   void CloseExpired(time_point now);
 
   const target_client_options options_;
--- a/tests/fuzz/target_response_fuzzer.cc
+++ b/tests/fuzz/target_response_fuzzer.cc
@@ -9,7 +9,7 @@
 #include <variant>
 
 #include "libraries/base/clock.h"
-#include "libraries/proxy/target_connection.h"
+#include "libraries/http_client/client_connection.h"
 #include "tests/fuzz/fuzz_input.h"
 
 namespace {
@@ -97,12 +97,12 @@
   limits.max_body_bytes = 4096;
   std::thread answering([&] { target.Answer(FuzzText(data, size)); });
   {
-    target_connection connection(target.Endpoint(), limits, time);
+    client_connection connection(target.Endpoint(), limits, time);
     proxy_request request;
     request.method = "GET";
     request.target = "/";
     request.headers.Add("Host", "target");
-    const std::variant<proxy_response, failure_point> outcome =
+    const std::variant<proxy_response, client_failure> outcome =
         connection.Exchange(request, time.Now() + std::chrono::seconds(5),
                             kNoSocket);
     if (const proxy_response* response =
