--- a/libraries/caller/caller_transport.h
+++ b/libraries/caller/caller_transport.h
@@ -14,25 +14,25 @@
 
 namespace bulrushshore {
 
-using http_headers = std::vector<std::pair<std::string, std::string>>;
+using header_list = std::vector<std::pair<std::string, std::string>>;
 
 // Returns the first value of the header `name`, compared without regard to
 // case, or nothing. Thread safe.
-std::optional<std::string_view> FindHeader(const http_headers& headers,
+std::optional<std::string_view> FindHeader(const header_list& headers,
                                            std::string_view name);
 
 struct transport_request {
   std::string method = "GET";
   // Path with the query, as it is sent.
   std::string path = "/";
-  http_headers headers;
+  header_list headers;
   std::string body;
 };
 
 // A complete response: its framing was checked.
 struct transport_response {
   int status = 0;
-  http_headers headers;
+  header_list headers;
   std::string body;
 };
 
--- a/libraries/caller/http_transport.cc
+++ b/libraries/caller/http_transport.cc
@@ -12,49 +12,49 @@
 // Hosts close idle connections after 2 s; a request on a connection that is
 // about to be closed would be lost.
 constexpr std::chrono::milliseconds kMaxIdleTime(1500);
-constexpr std::size_t kMaxIdleClientsPerHost = 256;
+constexpr std::size_t kMaxIdleConnectionsPerHost = 256;
 
-std::chrono::microseconds ToMicroseconds(duration value) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(value);
+exchange_limits LimitsFor(duration connect_timeout) {
+  exchange_limits limits;
+  limits.connect_timeout = ToMilliseconds(connect_timeout);
+  limits.unacknowledged_timeout = std::chrono::milliseconds(0);
+  return limits;
 }
 
-transport_failure ToFailure(httplib::Error error, bool is_out_of_time) {
-  switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-    case httplib::Error::BindIPAddress:
+transport_failure ToTransportFailure(client_failure failure) {
+  switch (failure) {
+    case client_failure::kConnectFailed:
       return transport_failure::kConnectFailed;
-    default:
-      return is_out_of_time ? transport_failure::kTimedOut
-                            : transport_failure::kConnectionLost;
+    case client_failure::kResponseTimeout:
+      return transport_failure::kTimedOut;
+    case client_failure::kNothingSent:
+    case client_failure::kClosedBeforeResponse:
+    case client_failure::kClosedDuringResponse:
+    case client_failure::kCancelled:
+    case client_failure::kResponseMalformed:
+    case client_failure::kResponseTooLarge:
+    case client_failure::kResponseUnframed:
+      break;
   }
+  return transport_failure::kConnectionLost;
 }
 
-bool HasBodyFraming(const httplib::Response& response) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return response.status == kNoContent || response.status == kNotModified ||
-         response.has_header("Content-Length") ||
-         response.has_header("Transfer-Encoding");
-}
-
-httplib::Request ToLibraryRequest(const transport_request& request) {
-  httplib::Request converted;
-  converted.method = request.method;
-  converted.path = request.path;
-  converted.body = request.body;
+proxy_request ToMessage(const transport_request& request) {
+  proxy_request message;
+  message.method = request.method;
+  message.target = request.path;
+  message.body = request.body;
   for (const std::pair<std::string, std::string>& header : request.headers) {
-    converted.headers.emplace(header.first, header.second);
+    message.headers.Add(header.first, header.second);
   }
-  return converted;
+  return message;
 }
 
-transport_response FromLibraryResponse(httplib::Response& response) {
+transport_response ToTransportResponse(proxy_response response) {
   transport_response converted;
   converted.status = response.status;
-  for (const std::pair<const std::string, std::string>& header :
-       response.headers) {
-    converted.headers.emplace_back(header.first, header.second);
+  for (const http_header& field : response.headers.fields()) {
+    converted.headers.emplace_back(field.name, field.value);
   }
   converted.body = std::move(response.body);
   return converted;
@@ -62,7 +62,7 @@
 
 }  // namespace
 
-std::optional<std::string_view> FindHeader(const http_headers& headers,
+std::optional<std::string_view> FindHeader(const header_list& headers,
                                            std::string_view name) {
   const auto found = std::find_if(
       headers.begin(), headers.end(),
@@ -89,71 +89,55 @@
 }
 
 http_transport::http_transport(const clock& time, duration connect_timeout)
-    : clock_(time), connect_timeout_(connect_timeout) {}
+    : clock_(time), limits_(LimitsFor(connect_timeout)) {}
 
 http_transport::~http_transport() = default;
 
 transport_result http_transport::Exchange(const endpoint& address,
                                           const transport_request& request,
                                           duration timeout) {
-  const time_point deadline = clock_.Now() + timeout;
-  std::unique_ptr<httplib::Client> client = TakeClient(address);
-  client->set_connection_timeout(
-      ToMicroseconds(std::min(timeout, connect_timeout_)));
-  client->set_read_timeout(ToMicroseconds(timeout));
-  client->set_write_timeout(ToMicroseconds(timeout));
-  httplib::Request converted = ToLibraryRequest(request);
-  // The read timeout applies to each read; this bounds the whole response.
-  converted.progress = [this, deadline](std::uint64_t, std::uint64_t) {
-    return clock_.Now() < deadline;
-  };
-  httplib::Response response;
-  httplib::Error failure = httplib::Error::Success;
-  const bool is_complete = client->send(converted, response, failure);
-  if (!is_complete) {
-    return ToFailure(failure, clock_.Now() >= deadline);
-  }
-  if (request.method != "HEAD" && !HasBodyFraming(response)) {
-    return transport_failure::kConnectionLost;
+  std::unique_ptr<client_connection> connection = TakeConnection(address);
+  std::variant<proxy_response, client_failure> outcome = connection->Exchange(
+      ToMessage(request), clock_.Now() + timeout, kNoSocket);
+  if (const client_failure* failure = std::get_if<client_failure>(&outcome)) {
+    return ToTransportFailure(*failure);
   }
-  ReturnClient(address, std::move(client));
-  return FromLibraryResponse(response);
+  ReturnConnection(address, std::move(connection));
+  return ToTransportResponse(std::get<proxy_response>(std::move(outcome)));
 }
 
-std::unique_ptr<httplib::Client> http_transport::TakeClient(
+std::unique_ptr<client_connection> http_transport::TakeConnection(
     const endpoint& address) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    std::vector<idle_client>& idle = idle_clients_[FormatEndpoint(address)];
+    std::vector<idle_connection>& idle =
+        idle_connections_[FormatEndpoint(address)];
     if (!idle.empty() &&
         clock_.Now() - idle.back().idle_since >= kMaxIdleTime) {
       // The last one was returned latest, so that all others are older.
       idle.clear();
     }
     if (!idle.empty()) {
-      std::unique_ptr<httplib::Client> client = std::move(idle.back().client);
+      std::unique_ptr<client_connection> connection =
+          std::move(idle.back().connection);
       idle.pop_back();
-      return client;
+      return connection;
     }
   }
-  std::unique_ptr<httplib::Client> client =
-      std::make_unique<httplib::Client>(address.ip, address.port);
-  client->set_keep_alive(true);
-  client->set_tcp_nodelay(true);
-  client->set_url_encode(false);
-  client->set_decompress(false);
-  return client;
+  return std::make_unique<client_connection>(address, limits_, clock_);
 }
 
-void http_transport::ReturnClient(const endpoint& address,
-                                  std::unique_ptr<httplib::Client> client) {
-  if (client->is_socket_open() == 0) {
+void http_transport::ReturnConnection(
+    const endpoint& address,
+    std::unique_ptr<client_connection> connection) {
+  if (!connection->IsReusable()) {
     return;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<idle_client>& idle = idle_clients_[FormatEndpoint(address)];
-  if (idle.size() < kMaxIdleClientsPerHost) {
-    idle.push_back({std::move(client), clock_.Now()});
+  std::vector<idle_connection>& idle =
+      idle_connections_[FormatEndpoint(address)];
+  if (idle.size() < kMaxIdleConnectionsPerHost) {
+    idle.push_back({std::move(connection), clock_.Now()});
   }
 }
 
--- a/libraries/caller/http_transport.h
+++ b/libraries/caller/http_transport.h
@@ -7,14 +7,13 @@
 #include <string>
 #include <vector>
 
-#include <httplib.h>
-
 #include "libraries/base/clock.h"
 #include "libraries/caller/caller_transport.h"
+#include "libraries/http_client/client_connection.h"
 
 namespace bulrushshore {
 
-// Sends requests through cpp-httplib over pooled connections. Thread safe.
+// Sends requests over pooled connections. Thread safe.
 class http_transport : public caller_transport {
  public:
   // Precondition: `time` outlives this object. Connecting takes at most
@@ -27,20 +26,20 @@
                             duration timeout) override;
 
  private:
-  struct idle_client {
-    std::unique_ptr<httplib::Client> client;
+  struct idle_connection {
+    std::unique_ptr<client_connection> connection;
     time_point idle_since;
   };
 
-  std::unique_ptr<httplib::Client> TakeClient(const endpoint& address);
-  void ReturnClient(const endpoint& address,
-                    std::unique_ptr<httplib::Client> client);
+  std::unique_ptr<client_connection> TakeConnection(const endpoint& address);
+  void ReturnConnection(const endpoint& address,
+                        std::unique_ptr<client_connection> connection);
 
   const clock& clock_;
-  const duration connect_timeout_;
+  const exchange_limits limits_;
   std::mutex mutex_;
   // By formatted address.
-  std::map<std::string, std::vector<idle_client>> idle_clients_;
+  std::map<std::string, std::vector<idle_connection>> idle_connections_;
 };
 
 // Blocks the thread. Thread safe.
--- a/libraries/http_client/client_connection.cc
+++ b/libraries/http_client/client_connection.cc
@@ -91,9 +91,11 @@
       clock_(source) {
   set_keep_alive(true);
   set_tcp_nodelay(true);
-  set_socket_options([limit = limits.unacknowledged_timeout](int socket) {
-    DetectSilentPeer(socket, limit);
-  });
+  if (limits.unacknowledged_timeout > std::chrono::milliseconds(0)) {
+    set_socket_options([limit = limits.unacknowledged_timeout](int socket) {
+      DetectSilentPeer(socket, limit);
+    });
+  }
 }
 
 std::variant<proxy_response, client_failure> client_connection::Exchange(
--- a/libraries/http_client/client_connection.h
+++ b/libraries/http_client/client_connection.h
@@ -23,6 +23,7 @@
   std::chrono::milliseconds connect_timeout{1000};
   // A connection whose peer acknowledges nothing for this long is closed, so
   // that a connection that went silent fails before the request's deadline.
+  // Zero for no such limit.
   std::chrono::milliseconds unacknowledged_timeout{1500};
   std::size_t max_head_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
--- a/libraries/http_client/exchange_stream.cc
+++ b/libraries/http_client/exchange_stream.cc
@@ -32,8 +32,8 @@
     // poll(2) ignores entries with a negative descriptor.
     std::array<pollfd, 2> entries = {
         {{socket, events, 0}, {cancel_socket, POLLRDHUP, 0}}};
-    const int ready =
-        poll(entries.data(), entries.size(), PollTimeout(source, deadline));
+    const int timeout = PollTimeout(source, deadline);
+    const int ready = poll(entries.data(), entries.size(), timeout);
     if (ready < 0 && errno == EINTR) {
       continue;
     }
@@ -46,7 +46,9 @@
     if (ready < 0) {
       return stream_end::kLost;
     }
-    if (source.Now() >= deadline) {
+    // A wait for all of the time that was left bounds the call also if the
+    // clock of a test stands still.
+    if (timeout < kLongestPoll.count() || source.Now() >= deadline) {
       return stream_end::kDeadline;
     }
   }
--- a/libraries/probing/http_probe_client.h
+++ b/libraries/probing/http_probe_client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 
+#include "libraries/base/clock.h"
 #include "libraries/probing/probe_client.h"
 
 namespace bulrushshore {
@@ -13,11 +14,13 @@
 // that the target is leaving. Thread safe.
 class http_probe_client : public probe_client {
  public:
-  explicit http_probe_client(std::chrono::milliseconds timeout);
+  // Precondition: `source` outlives this object.
+  http_probe_client(const clock& source, std::chrono::milliseconds timeout);
 
   probe_outcome Probe(const endpoint& address) override;
 
  private:
+  const clock& clock_;
   const std::chrono::milliseconds timeout_;
 };
 
--- a/libraries/store/http_exchange.cc
+++ b/libraries/store/http_exchange.cc
@@ -1,9 +1,10 @@
 #include "libraries/store/http_exchange.h"
 
-#include <httplib.h>
-
 #include <charconv>
 #include <utility>
+#include <variant>
+
+#include "libraries/http_client/client_connection.h"
 
 namespace bulrushshore {
 namespace {
@@ -39,61 +40,35 @@
   return "GET";
 }
 
-// Collects a response body within its bounds of size and time.
-class body_collector {
- public:
-  body_collector(const clock& time_source,
-                 time_point deadline,
-                 std::size_t max_bytes)
-      : time_source_(time_source), deadline_(deadline), max_bytes_(max_bytes) {}
-
-  bool Add(const char* data, std::size_t size) {
-    if (body_.size() + size > max_bytes_) {
-      is_too_large_ = true;
-      return false;
-    }
-    body_.append(data, size);
-    return time_source_.Now() <= deadline_;
-  }
-
-  bool is_too_large() const { return is_too_large_; }
-  std::string body() && { return std::move(body_); }
-
- private:
-  const clock& time_source_;
-  const time_point deadline_;
-  const std::size_t max_bytes_;
-  std::string body_;
-  bool is_too_large_ = false;
-};
-
-httplib::Request ToLibraryRequest(const store_request& request,
-                                  body_collector& collector) {
-  httplib::Request sent;
-  sent.method = MethodName(request.method);
-  sent.path = request.path;
+proxy_request ToMessage(const store_request& request) {
+  proxy_request message;
+  message.method = MethodName(request.method);
+  message.target = request.path;
   for (const std::pair<const std::string, std::string>& header :
        request.headers) {
-    sent.headers.emplace(header.first, header.second);
+    message.headers.Add(header.first, header.second);
   }
   if (request.method == store_method::kPut) {
-    sent.headers.emplace("Content-Type", "application/octet-stream");
+    message.headers.Add("Content-Type", "application/octet-stream");
   }
-  sent.body = request.body;
-  sent.content_receiver = [&collector](const char* data, std::size_t size,
-                                       std::uint64_t, std::uint64_t) {
-    return collector.Add(data, size);
-  };
-  return sent;
+  message.headers.Add("Connection", "close");
+  message.body = request.body;
+  return message;
 }
 
-error TransportError(const http_store_options& options, httplib::Error cause) {
-  const bool is_connected = cause != httplib::Error::Connection &&
-                            cause != httplib::Error::ConnectionTimeout &&
-                            cause != httplib::Error::BindIPAddress;
-  return {is_connected ? error_code::kUnknownEffect : error_code::kUnavailable,
+error ToError(const http_store_options& options,
+              const store_request& request,
+              client_failure failure) {
+  if (failure == client_failure::kResponseTooLarge) {
+    return {error_code::kDataLoss,
+            "response of the server is larger than " +
+                std::to_string(request.max_response_bytes) + " bytes"};
+  }
+  return {failure == client_failure::kConnectFailed
+              ? error_code::kUnavailable
+              : error_code::kUnknownEffect,
           "server at " + FormatEndpoint(options.address) + ": " +
-              httplib::to_string(cause)};
+              std::string(ClientFailureName(failure))};
 }
 
 }  // namespace
@@ -101,29 +76,24 @@
 result<store_response> ExchangeHttp(const http_store_options& options,
                                     const clock& time_source,
                                     const store_request& request) {
-  httplib::Client client(options.address.ip, options.address.port);
-  client.set_connection_timeout(options.timeout);
-  client.set_write_timeout(options.timeout);
-  client.set_read_timeout(options.timeout + request.extra_wait);
-  client.set_tcp_nodelay(true);
-  client.set_keep_alive(false);
-  const time_point deadline =
-      time_source.Now() + options.timeout + request.extra_wait;
-  body_collector collector(time_source, deadline, request.max_response_bytes);
-  const httplib::Result received =
-      client.send(ToLibraryRequest(request, collector));
-  if (collector.is_too_large()) {
-    return error{error_code::kDataLoss,
-                 "response of the server is larger than " +
-                     std::to_string(request.max_response_bytes) + " bytes"};
-  }
-  if (!received) {
-    return TransportError(options, received.error());
+  exchange_limits limits;
+  limits.connect_timeout = options.timeout;
+  limits.unacknowledged_timeout = std::chrono::milliseconds(0);
+  limits.max_body_bytes = request.max_response_bytes;
+  limits.accepts_unframed = true;
+  client_connection connection(options.address, limits, time_source);
+  std::variant<proxy_response, client_failure> outcome = connection.Exchange(
+      ToMessage(request),
+      time_source.Now() + options.timeout + request.extra_wait, kNoSocket);
+  if (const client_failure* failure = std::get_if<client_failure>(&outcome)) {
+    return ToError(options, request, *failure);
   }
+  proxy_response received = std::get<proxy_response>(std::move(outcome));
   store_response response;
-  response.status_code = received->status;
-  response.version = ParseVersionTag(received->get_header_value("ETag"));
-  response.body = std::move(collector).body();
+  response.status_code = received.status;
+  response.version =
+      ParseVersionTag(received.headers.Find("ETag").value_or(""));
+  response.body = std::move(received.body);
   if (response.status_code == kServiceUnavailable) {
     return error{
         error_code::kUnavailable,
--- a/services/host_daemon/host_daemon.cc
+++ b/services/host_daemon/host_daemon.cc
@@ -136,7 +136,7 @@
                       const std::vector<std::string>& lost_targets) {
                  ReportCrash(lost, lost_targets);
                }}),
-        probe_client(kProbeTimeout),
+        probe_client(time_source, kProbeTimeout),
         audit_copies(audit, store, settings.id, incarnation),
         admin({[this] { return UnreadyReasons(); },
                [this] { return DescribeStatus(); },
