Do not add trailer fields to the header fields of a response

Effect: what a target states in its header (signature, attempt id, not executed) was also read from fields behind a chunked body.

Cause: the parser adds trailer fields to its one list of fields. RFC 9110, section 6.5.1, allows that only for fields that are defined for it.

Change: response_reader copies the fields when the header ends.

Test: TrailerFieldsAreNotHeaderFields failed on the old code; now http_test 33 of 33.

--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -56,6 +56,8 @@
 
 struct response_reader::parser_state {
   beast_response_parser parser;
+  // The parser adds the trailer fields of a chunked body to its own copy.
+  http_headers headers;
 };
 
 response_reader::response_reader(std::uint64_t max_body_bytes,
@@ -134,12 +136,13 @@
                       error == beast_http::error::body_limit;
       return response_read_state::kMalformed;
     }
-    if (state_->parser.is_header_done()) {
+    if (state_->parser.is_header_done() && !state_->parser.eager()) {
       is_too_large_ = IsStatedBodyTooLong();
       if (!IsStatusValid() || !IsFramingValid() || is_too_large_) {
         return response_read_state::kMalformed;
       }
       state_->parser.eager(true);
+      CopyHeaders();
     }
     if (IsInterim()) {
       if (++interim_responses_ > kMaxInterimResponses) {
@@ -158,6 +161,14 @@
   return response_read_state::kIncomplete;
 }
 
+void response_reader::CopyHeaders() {
+  for (const beast_http::fields::value_type& field :
+       state_->parser.get().base()) {
+    state_->headers.Add(ToStringView(field.name_string()),
+                        ToStringView(field.value()));
+  }
+}
+
 std::size_t response_reader::BufferedBytes() const {
   const std::size_t body_bytes =
       state_ ? state_->parser.get().body().size() : 0;
@@ -187,15 +198,12 @@
           state_->parser.content_length()) {
     received.stated_length = *stated;
   }
+  received.response.headers = std::move(state_->headers);
   beast_http::response<growing_body> message = state_->parser.release();
   state_.reset();
   received.response.status = static_cast<int>(message.result_int());
-  for (const beast_http::fields::value_type& field : message.base()) {
-    received.response.headers.Add(ToStringView(field.name_string()),
-                                  ToStringView(field.value()));
-  }
   received.keep_alive_timeout = ParseKeepAliveTimeout(
-      ToStringView(message[beast_http::field::keep_alive]));
+      received.response.headers.Find("Keep-Alive").value_or(""));
   RemoveHopByHopHeaders(received.response.headers);
   received.response.body = std::move(message.body());
   return received;
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -84,6 +84,8 @@
   // Returns true if the header states a body that exceeds the limit.
   // Precondition: the header was read.
   bool IsStatedBodyTooLong() const;
+  // Precondition: the header was read.
+  void CopyHeaders();
   void ResetParser();
 
   std::uint64_t max_body_bytes_;
--- a/tests/http/response_reader_test.cc
+++ b/tests/http/response_reader_test.cc
@@ -186,6 +186,22 @@
   }
 }
 
+// Guards against fields behind a chunked body that change what the header says.
+TEST(ResponseReaderTest, TrailerFieldsAreNotHeaderFields) {
+  response_reader reader(kMaxBody);
+  reader.Start(false);
+  EXPECT_EQ(reader.Feed("HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                        "X-Signature: s\r\nX-Attempt: 2\r\n"
+                        "Keep-Alive: timeout=9\r\n\r\n"),
+            response_read_state::kComplete);
+  const received_response received = reader.TakeResponse();
+  EXPECT_EQ(received.response.body, "body");
+  EXPECT_EQ(received.response.headers.Find("X-Signature"), std::nullopt);
+  EXPECT_EQ(received.response.headers.Count("X-Attempt"), 1U);
+  EXPECT_EQ(received.keep_alive_timeout, std::nullopt);
+}
+
 // Guards against an interim response that completes an exchange.
 TEST(ResponseReaderTest, AnInterimResponseIsNotTheEnd) {
   for (const bool is_head : {false, true}) {
