Do not keep a connection on which an absent body may follow

Effect: a server that sends the body that it states in a response to HEAD, or with 304, some time behind the header, had it read as the response to the next request on that connection. bulrushd delivered it; in bulrush_edge the attempt id makes it an error; responses of the store have no id.

Cause: such a response is complete behind its header, and the connection was used again.

Change: response_reader does not keep the connection of a response that states a body that it does not have.

Tests: KeepsNoConnectionOnWhichABodyMayFollow and two tests named DoesNotReuseAConnectionOnWhichABodyMayFollow, all three failed before.

--- a/libraries/http/response_reader.cc
+++ b/libraries/http/response_reader.cc
@@ -20,6 +20,7 @@
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
 constexpr unsigned kLastStatus = 599;
 constexpr unsigned kHttp11 = 11;
 
@@ -161,6 +162,12 @@
   return response_read_state::kIncomplete;
 }
 
+bool response_reader::StatesAbsentBody() const {
+  const beast_response_parser& parser = state_->parser;
+  return (is_head_ || parser.get().result_int() == kNotModified) &&
+         (parser.chunked() || parser.content_length().value_or(0) > 0);
+}
+
 void response_reader::CopyHeaders() {
   for (const beast_http::fields::value_type& field :
        state_->parser.get().base()) {
@@ -193,7 +200,8 @@
 
 received_response response_reader::TakeResponse() {
   received_response received;
-  received.is_keep_alive = state_->parser.keep_alive();
+  // A sender that does send the body would have it read as its next response.
+  received.is_keep_alive = state_->parser.keep_alive() && !StatesAbsentBody();
   if (const boost::optional<std::uint64_t> stated =
           state_->parser.content_length()) {
     received.stated_length = *stated;
--- a/libraries/http/response_reader.h
+++ b/libraries/http/response_reader.h
@@ -84,6 +84,9 @@
   // Returns true if the header states a body that exceeds the limit.
   // Precondition: the header was read.
   bool IsStatedBodyTooLong() const;
+  // Returns true if the header states a body that a response to HEAD or with
+  // status 304 does not have. Precondition: the header was read.
+  bool StatesAbsentBody() const;
   // Precondition: the header was read.
   void CopyHeaders();
   void ResetParser();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -763,6 +763,26 @@
         invalid_head{"control_byte_in_the_reason", SignedHead("200 O\x01K"),
                      "part"}));
 
+// Guards against a body that follows a response without one later and is read
+// as the response to the next request.
+TEST_F(GatewayTest, DoesNotReuseAConnectionOnWhichABodyMayFollow) {
+  ApplyRules();
+  scripted_target& target =
+      AddTarget("t1", [](const proxy_request& request) -> scripted_reply {
+        if (request.headers.Find("X-Attempt") == "1") {
+          return {.bytes =
+                      "HTTP/1.1 304 Not Modified\r\nX-Attempt: 1\r\n"
+                      "Content-Length: 5\r\n\r\n"};
+        }
+        return scripted_target::Success(request);
+      });
+  SendRequest("/read/x", "1");
+  EXPECT_EQ(Receive()[0].status, 304);
+  SendRequest("/read/x", "2");
+  EXPECT_EQ(Receive()[0].status, 200);
+  EXPECT_EQ(target.connections_accepted(), 2);
+}
+
 // Guards against interim responses that are taken for the response.
 TEST_F(GatewayTest, PassesOverInterimResponsesOfTargets) {
   ApplyRules();
--- a/tests/http/response_reader_test.cc
+++ b/tests/http/response_reader_test.cc
@@ -1,6 +1,7 @@
 #include "libraries/http/response_reader.h"
 
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -202,6 +203,29 @@
   EXPECT_EQ(received.keep_alive_timeout, std::nullopt);
 }
 
+// Guards against a body that was not expected, comes later and is read as the
+// next response.
+TEST(ResponseReaderTest, KeepsNoConnectionOnWhichABodyMayFollow) {
+  struct bodiless_response {
+    const char* head;
+    bool is_head;
+    bool is_keep_alive;
+  };
+  const std::vector<bodiless_response> cases = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true, false},
+      {"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", false, false},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, true},
+      {"HTTP/1.1 304 Not Modified\r\n\r\n", false, true}};
+  for (const bodiless_response& tried : cases) {
+    response_reader reader(kMaxBody);
+    reader.Start(tried.is_head);
+    EXPECT_EQ(reader.Feed(tried.head), response_read_state::kComplete);
+    EXPECT_EQ(reader.TakeResponse().is_keep_alive, tried.is_keep_alive)
+        << tried.head;
+  }
+}
+
 // Guards against an interim response that completes an exchange.
 TEST(ResponseReaderTest, AnInterimResponseIsNotTheEnd) {
   for (const bool is_head : {false, true}) {
--- a/tests/proxy/invalid_response_test.cc
+++ b/tests/proxy/invalid_response_test.cc
@@ -163,6 +163,24 @@
   EXPECT_EQ(HeaderOf(response, "X-Forged"), "");
 }
 
+// Guards against a body that follows the response to HEAD and is read as the
+// next response.
+TEST(TargetResponseTest, DoesNotReuseAConnectionOnWhichABodyMayFollow) {
+  scripted_target target(
+      {[](raw_connection& connection) {
+         connection.ReceiveMessage();
+         connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n");
+         connection.ReceiveMessage();
+         connection.Send(kForged);
+       },
+       AfterRequest(PlainResponse(200, "fine"))});
+  proxy_fixture fixture({target.port()});
+  EXPECT_EQ(StatusOf(fixture.Ask("HEAD /lookup HTTP/1.1\r\nHost: a\r\n"
+                                 "Connection: close\r\n\r\n")),
+            200);
+  EXPECT_TRUE(fixture.Get("/lookup").ends_with("fine"));
+}
+
 // Guards against a sound response that is refused because of what precedes it.
 TEST(TargetResponseTest, PassesOverInterimResponses) {
   scripted_target target(
