--- a/tests/gateway/early_response_test.cc
+++ b/tests/gateway/early_response_test.cc
@@ -1,18 +1,15 @@
-#include <array>
-#include <memory>
 #include <ostream>
 #include <string>
 
 #include <gtest/gtest.h>
 
-#include "libraries/event_loop/socket_options.h"
+#include "tests/gateway/early_target.h"
 #include "tests/gateway/gateway_fixture.h"
 
 namespace bulrushshore {
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 // More than the buffers of a loopback connection hold, so that the upload is
@@ -20,85 +17,6 @@
 constexpr std::size_t kUploadBytes = std::size_t{8} << 20;
 constexpr milliseconds kTimeout{5000};
 
-// Time between the response and the end of its connection.
-constexpr milliseconds kPause{20};
-
-enum class connection_end {
-  kReset,
-  // Ends the response in order and reads the rest of the upload.
-  kHalfClose,
-  // Ends both directions in order; what arrives afterwards is reset.
-  kClose,
-};
-
-// A target that responds to the first bytes of a request and then ends its
-// connection. Runs on the test's event loop. Not thread safe.
-class early_target {
- public:
-  early_target(asio::io_context& loop, std::string response, connection_end end)
-      : response_(std::move(response)),
-        end_(end),
-        acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}),
-        timer_(loop) {
-    acceptor_.async_accept(
-        [this](const socket_error& error, tcp::socket accepted) {
-          if (!error) {
-            socket_ = std::make_unique<tcp::socket>(std::move(accepted));
-            socket_->async_read_some(
-                asio::buffer(buffer_),
-                [this](const socket_error&, std::size_t) { Respond(); });
-          }
-        });
-  }
-
-  endpoint address() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
-
- private:
-  void Respond() {
-    asio::async_write(
-        *socket_, asio::buffer(response_),
-        [this](const socket_error&, std::size_t) {
-          timer_.expires_after(kPause);
-          timer_.async_wait([this](const socket_error&) { End(); });
-        });
-  }
-
-  void End() {
-    switch (end_) {
-      case connection_end::kReset:
-        socket_->set_option(asio::socket_base::linger(true, 0));
-        socket_->close();
-        return;
-      case connection_end::kHalfClose:
-        socket_->shutdown(tcp::socket::shutdown_send);
-        Drain();
-        return;
-      case connection_end::kClose:
-        socket_->shutdown(tcp::socket::shutdown_send);
-        socket_->close();
-        return;
-    }
-  }
-
-  void Drain() {
-    socket_->async_read_some(asio::buffer(buffer_),
-                             [this](const socket_error& error, std::size_t) {
-                               if (!error) {
-                                 Drain();
-                               }
-                             });
-  }
-
-  const std::string response_;
-  const connection_end end_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer timer_;
-  std::unique_ptr<tcp::socket> socket_;
-  std::array<char, 65536> buffer_{};
-};
-
 struct early_response {
   const char* name;
   std::string framing;
