Judge each host by its own answers, not by the share that responds

Cause: below 34 in 100 responding hosts the registry ignored which hosts it had found lost. That share says nothing about this host's own links: entries of hosts that are lost for good stay in the list.

Change: a host is lost if it has not answered its pings. After two losses in a zone the hosts that would serve next are pinged at once, two more for each recent loss, and serving hosts check other zones, so that the loss of nearly the whole fleet is known before the recovery time. The detector no longer draws hosts with a ping in progress, which delayed the detection of further losses. A host that is alone names itself and keeps to its part of the fleet's limits.

--- a/libraries/peers/host_registry.cc
+++ b/libraries/peers/host_registry.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <utility>
 
 #include <xxhash.h>
@@ -15,9 +14,14 @@
 // One of this number of steps pings a host of another zone.
 constexpr std::uint64_t kStepsPerOtherZonePing = 4;
 
-// If fewer than this share of the hosts respond, this host itself is likely to
-// be disconnected, and it ignores which hosts it has marked as lost.
-constexpr double kMinRespondingShare = 0.34;
+// After a loss, the hosts that would serve next are pinged, and this number of
+// further ones per recent loss: the number of hosts checked at once grows
+// geometrically while they turn out to be lost, too.
+constexpr std::size_t kHostsCheckedPerLoss = 2;
+
+// Number of recent losses in a zone from which on its hosts check the next
+// ones.
+constexpr std::size_t kLossesBeforeCheck = 2;
 
 std::uint64_t RankOf(std::string_view id) {
   return XXH3_64bits(id.data(), id.size());
@@ -62,6 +66,7 @@
   found->second.pinged.reset();
   found->second.pings_sent = 0;
   last_heard_any_ = now;
+  is_alone_ = false;
 }
 
 bool host_registry::SetReady(std::string_view id, bool is_ready) {
@@ -81,7 +86,14 @@
       found->second.last_heard &&
       now - *found->second.last_heard < options_.heard_recently;
   if (!was_heard_recently) {
-    found->second.is_lost = true;
+    MarkLost(found->second, now);
+  }
+}
+
+void host_registry::MarkLost(record& host, time_point now) {
+  if (!host.is_lost) {
+    host.is_lost = true;
+    host.lost_since = now;
   }
 }
 
@@ -90,10 +102,10 @@
   HandlePingTimeouts(now, actions);
   const std::optional<std::string> next = SelectHostToPing();
   if (next) {
-    record& host = hosts_.find(*next)->second;
-    if (!host.pinged) {
-      Ping(host, now, actions);
-    }
+    Ping(hosts_.find(*next)->second, now, actions);
+  }
+  for (const std::string& id : SelectHostsToCheck(now)) {
+    Ping(hosts_.find(id)->second, now, actions);
   }
   ++steps_;
   return actions;
@@ -101,7 +113,8 @@
 
 void host_registry::HandlePingTimeouts(time_point now,
                                        detector_actions& actions) {
-  // A host that receives no messages cannot tell which hosts are lost.
+  // A host that receives no messages cannot tell whether the other hosts are
+  // lost or itself is disconnected, so it reports no losses.
   const bool is_connected =
       last_heard_any_ && now - *last_heard_any_ < options_.heard_recently +
                                                       2 * options_.ping_timeout;
@@ -123,7 +136,8 @@
       Ping(known.second, now, actions);
       continue;
     }
-    known.second.is_lost = true;
+    MarkLost(known.second, now);
+    is_alone_ = !is_connected;
     if (is_connected) {
       actions.lost_ids.push_back(known.first);
     }
@@ -157,40 +171,108 @@
       }
     }
   }
-  std::erase_if(candidates, [this](const record* host) {
-    return host->entry.id == self_.id || host->is_leaving;
-  });
+  // Lost hosts that were pinged are pinged again by HandlePingTimeouts(). If
+  // they were selected here, too, the more hosts are lost the longer the loss
+  // of a further one would remain undetected.
+  std::erase_if(candidates,
+                [this](const record* host) { return !CanBePinged(*host); });
   if (candidates.empty()) {
     return std::nullopt;
   }
   return candidates[random_.Uniform(candidates.size())]->entry.id;
 }
 
-std::vector<const host_registry::record*> host_registry::ServingRecords(
-    std::string_view zone) const {
-  const double responding = static_cast<double>(hosts_.size() - lost_count());
-  const bool is_loss_plausible =
-      responding >= kMinRespondingShare * static_cast<double>(hosts_.size());
-  std::vector<const record*> serving;
-  std::size_t zone_hosts = 0;
-  for (const record_map::value_type& known : hosts_) {
-    if (known.second.entry.zone != zone) {
+bool host_registry::CanBePinged(const record& host) const {
+  return host.entry.id != self_.id && !host.is_leaving && !host.pinged;
+}
+
+std::vector<std::string> host_registry::SelectHostsToCheck(
+    time_point now) const {
+  if (lost_count() == 0) {
+    return {};
+  }
+  const recent_losses own = RecentLossesOf(self_.zone, now);
+  // One lost host is replaced by the next one, which is probably alive. Several
+  // at once are a sign that the next ones are lost, too.
+  const bool are_many_lost = own.count >= kLossesBeforeCheck;
+  const bool is_serving = IsServing();
+  std::vector<std::string> selected;
+  for (const std::map<std::string_view, std::size_t>::value_type& zone :
+       ZoneSizes()) {
+    const recent_losses losses = RecentLossesOf(zone.first, now);
+    // Only serving hosts check another zone and report its losses, so that a
+    // loss does not make every host of the fleet send pings.
+    const bool is_checked =
+        zone.first == self_.zone
+            ? are_many_lost
+            : is_serving && (are_many_lost || losses.count > 0);
+    if (!is_checked) {
       continue;
     }
-    ++zone_hosts;
-    if (known.second.is_leaving || !known.second.is_ready) {
-      continue;
+    const std::size_t limit =
+        ServingHostLimit(zone.second) +
+        kHostsCheckedPerLoss * std::max(own.count, losses.count);
+    const time_point first_loss = std::min(own.first, losses.first);
+    for (const record* host : AvailableRecords(zone.first, limit)) {
+      const bool was_heard_since =
+          host->last_heard && *host->last_heard >= first_loss;
+      if (CanBePinged(*host) && !was_heard_since) {
+        selected.push_back(host->entry.id);
+      }
+    }
+  }
+  return selected;
+}
+
+host_registry::recent_losses host_registry::RecentLossesOf(
+    std::string_view zone,
+    time_point now) const {
+  recent_losses losses;
+  for (const record_map::value_type& known : hosts_) {
+    const record& host = known.second;
+    if (host.is_lost && host.entry.zone == zone &&
+        now - host.lost_since < options_.recent_loss_window) {
+      ++losses.count;
+      losses.first = std::min(losses.first, host.lost_since);
     }
-    if (!known.second.is_lost || !is_loss_plausible) {
-      serving.push_back(&known.second);
+  }
+  return losses;
+}
+
+std::map<std::string_view, std::size_t> host_registry::ZoneSizes() const {
+  std::map<std::string_view, std::size_t> sizes;
+  for (const record_map::value_type& known : hosts_) {
+    ++sizes[known.second.entry.zone];
+  }
+  return sizes;
+}
+
+std::vector<const host_registry::record*> host_registry::ServingRecords(
+    std::string_view zone) const {
+  const std::size_t zone_hosts = static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(), [zone](const record_map::value_type& host) {
+        return host.second.entry.zone == zone;
+      }));
+  return AvailableRecords(zone, ServingHostLimit(zone_hosts));
+}
+
+std::vector<const host_registry::record*> host_registry::AvailableRecords(
+    std::string_view zone,
+    std::size_t limit) const {
+  std::vector<const record*> available;
+  for (const record_map::value_type& known : hosts_) {
+    const record& host = known.second;
+    if (host.entry.zone == zone && !host.is_leaving && host.is_ready &&
+        !host.is_lost) {
+      available.push_back(&host);
     }
   }
-  std::sort(serving.begin(), serving.end(),
+  std::sort(available.begin(), available.end(),
             [](const record* left, const record* right) {
               return left->rank < right->rank;
             });
-  serving.resize(std::min(serving.size(), ServingHostLimit(zone_hosts)));
-  return serving;
+  available.resize(std::min(available.size(), limit));
+  return available;
 }
 
 std::size_t host_registry::ServingHostLimit(std::size_t zone_hosts) const {
@@ -214,19 +296,33 @@
 }
 
 std::vector<const host_entry*> host_registry::ServingHosts() const {
-  std::set<std::string_view> zones;
-  for (const record_map::value_type& known : hosts_) {
-    zones.insert(known.second.entry.zone);
-  }
   std::vector<const host_entry*> serving;
-  for (const std::string_view zone : zones) {
-    for (const record* host : ServingRecords(zone)) {
+  for (const std::map<std::string_view, std::size_t>::value_type& zone :
+       ZoneSizes()) {
+    for (const record* host :
+         AvailableRecords(zone.first, ServingHostLimit(zone.second))) {
       serving.push_back(&host->entry);
     }
   }
   return serving;
 }
 
+std::size_t host_registry::BudgetedHostCount() const {
+  const bool are_others_available = std::any_of(
+      hosts_.begin(), hosts_.end(), [this](const record_map::value_type& host) {
+        return host.first != self_.id && !host.second.is_lost;
+      });
+  if (are_others_available && !is_alone_) {
+    return ServingHosts().size();
+  }
+  std::size_t count = 0;
+  for (const std::map<std::string_view, std::size_t>::value_type& zone :
+       ZoneSizes()) {
+    count += std::min(zone.second, ServingHostLimit(zone.second));
+  }
+  return count;
+}
+
 std::vector<const host_entry*> host_registry::ServingHostsOfZone() const {
   std::vector<const host_entry*> serving;
   for (const record* host : ServingRecords(self_.zone)) {
@@ -307,11 +403,7 @@
 }
 
 std::size_t host_registry::zone_count() const {
-  std::set<std::string_view> zones;
-  for (const record_map::value_type& known : hosts_) {
-    zones.insert(known.second.entry.zone);
-  }
-  return zones.size();
+  return ZoneSizes().size();
 }
 
 }  // namespace bulrushshore
--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -41,6 +41,8 @@
   duration heard_recently = std::chrono::milliseconds(500);
   // Lost hosts are pinged again at this interval.
   duration lost_ping_interval = std::chrono::seconds(1);
+  // How long a loss counts as a sign that further hosts are lost.
+  duration recent_loss_window = std::chrono::seconds(5);
 };
 
 // A ping that the caller of host_registry::Step() has to send.
@@ -62,8 +64,13 @@
 // serving host is one that callers are sent to. In each step a host pings a
 // random host among those of its zone that serve, are lost or are not ready, so
 // that the cost per host does not grow with the fleet. Some steps ping a host
-// of another zone instead, to detect the loss of a whole zone. The registry
-// never reads a clock. Not thread safe.
+// of another zone instead, to detect the loss of a whole zone. After losses,
+// the hosts that would serve in place of the lost ones are pinged, too, so that
+// the loss of most of the fleet is detected in a few rounds.
+//
+// A host is lost if it has not responded to pings, however many others have not
+// either: a host whose pings all remain unanswered sends callers to itself
+// only. The registry never reads a clock. Not thread safe.
 class host_registry {
  public:
   // Precondition: `random` outlives this object.
@@ -99,6 +106,11 @@
   // Returns the hosts that callers are sent to.
   std::vector<const host_entry*> ServingHosts() const;
 
+  // Returns the number of hosts that share the limits of the whole fleet. If no
+  // host responds to this one, the others may still be serving, so all hosts
+  // that would serve without losses are counted.
+  std::size_t BudgetedHostCount() const;
+
   // Returns the serving hosts of this host's zone.
   std::vector<const host_entry*> ServingHostsOfZone() const;
 
@@ -137,6 +149,7 @@
     // serve.
     std::uint64_t rank = 0;
     bool is_lost = false;
+    time_point lost_since;
     bool is_leaving = false;
     bool is_ready = true;
     std::optional<time_point> last_heard;
@@ -144,11 +157,26 @@
     std::optional<time_point> pinged;
     int pings_sent = 0;
   };
+  struct recent_losses {
+    std::size_t count = 0;
+    // When the first one was detected.
+    time_point first = time_point::max();
+  };
   using record_map = std::map<std::string, record, std::less<>>;
 
   std::vector<const record*> ServingRecords(std::string_view zone) const;
+  // Returns up to `limit` hosts of the zone that can serve, by rank.
+  std::vector<const record*> AvailableRecords(std::string_view zone,
+                                              std::size_t limit) const;
   std::size_t ServingHostLimit(std::size_t zone_hosts) const;
+  // Returns the number of known hosts of each zone.
+  std::map<std::string_view, std::size_t> ZoneSizes() const;
+  recent_losses RecentLossesOf(std::string_view zone, time_point now) const;
   std::optional<std::string> SelectHostToPing();
+  // Returns the hosts to ping because others were lost recently.
+  std::vector<std::string> SelectHostsToCheck(time_point now) const;
+  bool CanBePinged(const record& host) const;
+  static void MarkLost(record& host, time_point now);
   void Ping(record& host, time_point now, detector_actions& actions);
   void HandlePingTimeouts(time_point now, detector_actions& actions);
 
@@ -157,6 +185,8 @@
   host_registry_options options_;
   record_map hosts_;
   std::optional<time_point> last_heard_any_;
+  // Pings have failed, and no other host has been heard since.
+  bool is_alone_ = false;
   std::uint64_t steps_ = 0;
 };
 
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -259,7 +259,7 @@
 }
 
 void edge_daemon::OnHostsChanged() {
-  state_.SetFleet({.serving_hosts = hosts_.ServingHosts().size(),
+  state_.SetFleet({.serving_hosts = hosts_.BudgetedHostCount(),
                    .zone_count = hosts_.zone_count(),
                    .is_serving = hosts_.IsServing()},
                   options_.self.zone);
