Keep evidence about a request by its whole identity

Cause: the fingerprint of a request covered method, path and body. Responses to the other request, which goes to another service, cleared it, and losses within a minute of them were ignored. Error responses of failing targets cleared it, too.

Change: FingerprintOf() defines the identity in one place for both programs: method, request target, body, host name of the route, and in bulrush_edge the service. Only a complete response below status 500 with the target's signature and the attempt's id clears a request.

--- a/libraries/gateway/exchange.cc
+++ b/libraries/gateway/exchange.cc
@@ -5,10 +5,10 @@
 #include <utility>
 #include <variant>
 
-#include <xxhash.h>
-
 #include "libraries/event_loop/message_guard.h"
 #include "libraries/gateway/failure_response.h"
+#include "libraries/http/request_fingerprint.h"
+#include "libraries/routing/route_table.h"
 
 namespace bulrushshore {
 namespace {
@@ -39,12 +39,6 @@
 constexpr std::int64_t kRetryAfterMs = 200;
 constexpr std::uint64_t kRetryAfterSpreadMs = 400;
 
-std::uint64_t ComputeFingerprint(const proxy_request& request) {
-  const std::string text =
-      request.method + ' ' + request.target + '\n' + request.body;
-  return XXH3_64bits(text.data(), text.size());
-}
-
 target_observation ToObservation(exchange_failure failure) {
   switch (failure) {
     case exchange_failure::kConnectFailed:
@@ -137,7 +131,12 @@
 }
 
 bool exchange::RefuseIfHeldBack() {
-  fingerprint_ = ComputeFingerprint(request_);
+  const std::string host_name = HostNameOf(route_->host_name);
+  fingerprint_ = FingerprintOf({.method = request_.method,
+                                .target = request_.target,
+                                .body = request_.body,
+                                .host_name = host_name,
+                                .service = service_});
   if (!state_.crashes().HeldUntil(fingerprint_, state_.time().Now())) {
     return false;
   }
@@ -235,11 +234,13 @@
       ended.target,
       ReadTargetSignals(received.response, state_.options().headers));
   const time_point now = state_.time().Now();
+  if (evaluation.proves_completion) {
+    state_.crashes().RecordCompleted(fingerprint_, now);
+  }
   switch (evaluation.end) {
     case attempt_end::kAnswered:
       state_.Observe(ended.target, target_observation::kSuccess);
       state_.durations().Record(route_->name, now - ended.start_time);
-      state_.crashes().RecordCompleted(fingerprint_, now);
       response_ = std::move(received.response);
       break;
     case attempt_end::kErrorResponse:
@@ -248,7 +249,6 @@
       if (received.response.status != kGatewayTimeout) {
         ReportObservation(ended, target_observation::kFailure);
       }
-      state_.crashes().RecordCompleted(fingerprint_, now);
       error_response_ = std::move(received.response);
       break;
     case attempt_end::kNotExecuted:
--- a/libraries/gateway/gateway_state.h
+++ b/libraries/gateway/gateway_state.h
@@ -41,8 +41,8 @@
                                  target_observation observation) = 0;
 
   // Reports to the other hosts that a target closed the connection while it ran
-  // the request with this fingerprint, a hash of the request's method, request
-  // target and body.
+  // the request with this fingerprint; see FingerprintOf() in
+  // libraries/http/request_fingerprint.h.
   virtual void ReportLoss(std::uint64_t fingerprint,
                           std::string_view target_id,
                           loss_evidence evidence) = 0;
--- a/libraries/gateway/response_evaluation.cc
+++ b/libraries/gateway/response_evaluation.cc
@@ -48,10 +48,11 @@
         states_not_executed ? attempt_end::kNotExecuted : attempt_end::kUnknown;
     return evaluation;
   }
+  const bool is_genuine = response.headers.Find(names.signature).has_value() &&
+                          response.headers.Find(names.attempt_id) == attempt_id;
+  evaluation.proves_completion =
+      is_genuine && !states_not_executed && response.status < kFirstServerError;
   if (response.status >= kFirstSuccess && response.status < kFirstRedirect) {
-    const bool is_genuine =
-        response.headers.Find(names.signature).has_value() &&
-        response.headers.Find(names.attempt_id) == attempt_id;
     evaluation.is_malformed = !is_genuine;
     evaluation.end =
         is_genuine ? attempt_end::kAnswered : attempt_end::kUnknown;
--- a/libraries/gateway/response_evaluation.h
+++ b/libraries/gateway/response_evaluation.h
@@ -31,6 +31,11 @@
   attempt_end end = attempt_end::kAnswered;
   // The response lacks the proof that the target created it for this attempt.
   bool is_malformed = false;
+  // The target has run the request to its end and remained alive, which clears
+  // the request of the suspicion that it crashes targets. An error response
+  // (status 500 and above) does not prove this: a failing target returns it
+  // without running the request.
+  bool proves_completion = false;
 };
 
 // Returns true if `response` belongs to the attempt `attempt_id`. A response
--- a/libraries/proxy/request_pipeline.cc
+++ b/libraries/proxy/request_pipeline.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <utility>
 
-#include <xxhash.h>
+#include "libraries/http/request_fingerprint.h"
 
 namespace bulrushshore {
 namespace {
@@ -17,14 +17,6 @@
     "Idempotency-Key", "X-Organisation", "X-Request-Deadline-Ms",
     "X-Forwarded-For-Key"};
 
-std::uint64_t Fingerprint(const proxy_request& message) {
-  // Separates the parts, so that no two requests give the same byte sequence.
-  const std::string head = message.method + " " + message.target + "\n";
-  const XXH64_hash_t head_hash = XXH3_64bits(head.data(), head.size());
-  return XXH3_64bits_withSeed(message.body.data(), message.body.size(),
-                              head_hash);
-}
-
 bool IsOrganisationName(std::string_view text) {
   return text.size() <= kMaxOrganisationBytes &&
          text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
@@ -243,7 +235,13 @@
   to_run.kind = context.matched->kind;
   to_run.organisation = context.record.organisation;
   to_run.is_idempotent = context.matched->is_idempotent;
-  to_run.fingerprint = Fingerprint(context.received);
+  // Each service keeps its own evidence, and a key keeps its meaning when its
+  // route moves to another service.
+  to_run.fingerprint = FingerprintOf({.method = context.received.method,
+                                      .target = context.received.target,
+                                      .body = context.received.body,
+                                      .host_name = context.matched->host_name,
+                                      .service = ""});
   to_run.message = context.received;
   to_run.message.headers.Remove("X-Forwarded-For-Key");
   to_run.message.headers.Add("Via", "1.1 " + host_id_);
--- a/tests/gateway/response_evaluation_test.cc
+++ b/tests/gateway/response_evaluation_test.cc
@@ -38,6 +38,39 @@
   }
 }
 
+// Guards against responses that clear a request of the suspicion that it
+// crashes targets although they do not show that a target has run it.
+TEST(ResponseEvaluationTest, OnlyAGenuineResponseBelow500ProvesCompletion) {
+  const http_header id{"X-Attempt", "1"};
+  const http_header signature{"X-Signature", "s"};
+  for (const int status : {200, 204, 302, 404}) {
+    EXPECT_TRUE(EvaluateResponse(MakeResponse(status, {id, signature}), kNames,
+                                 "1", false)
+                    .proves_completion)
+        << status;
+    EXPECT_FALSE(
+        EvaluateResponse(MakeResponse(status, {id}), kNames, "1", false)
+            .proves_completion)
+        << status;
+    EXPECT_FALSE(
+        EvaluateResponse(MakeResponse(status, {signature}), kNames, "1", false)
+            .proves_completion)
+        << status;
+    EXPECT_FALSE(
+        EvaluateResponse(
+            MakeResponse(status, {id, signature, {"X-Not-Executed", "1"}}),
+            kNames, "1", false)
+            .proves_completion)
+        << status;
+  }
+  for (const int status : {408, 421, 429, 500, 502, 503, 504}) {
+    EXPECT_FALSE(EvaluateResponse(MakeResponse(status, {id, signature}), kNames,
+                                  "1", false)
+                     .proves_completion)
+        << status;
+  }
+}
+
 // Guards against telling the caller that a request did not run without a
 // statement of the target: these statuses alone are no proof.
 TEST(ResponseEvaluationTest, NotExecutedStatusRequiresHeader) {
--- a/tests/proxy/request_path_test.cc
+++ b/tests/proxy/request_path_test.cc
@@ -61,5 +61,35 @@
   EXPECT_EQ(HeaderOf(keyed, "X-Outcome"), "unknown");
 }
 
+// Guards against evidence about a request, and against a stored response, that
+// is applied to the same path of another host name: the routes may lead to
+// different work, so one request would be cleared or answered by the other.
+TEST(RequestPathTest, RequestsOfTwoHostNamesAreNotTheSame) {
+  scripted_target* self = nullptr;
+  const scripted_target::script answer = [&self](raw_connection& connection) {
+    self->Answer(PlainResponse(200, "found"))(connection);
+  };
+  scripted_target target({answer, answer, answer});
+  self = &target;
+  catalog_contents contents = proxy_fixture::MakeCatalog();
+  for (const std::string& host_name : std::vector<std::string>{"a", "b"}) {
+    route added = contents.routes["lookup"];
+    added.name = "lookup-" + host_name;
+    added.host_name = host_name;
+    contents.routes[added.name] = added;
+  }
+  proxy_fixture fixture({target.port()}, {}, fixed_snapshot(contents));
+  for (const std::string& host_header :
+       std::vector<std::string>{"a", "b", "A:80"}) {
+    const std::string response = fixture.Ask(
+        "GET /lookup/7 HTTP/1.1\r\nHost: " + host_header + "\r\n\r\n");
+    EXPECT_EQ(StatusOf(response), 200);
+  }
+  const std::vector<acquire_request> requests = fixture.targets.Requests();
+  ASSERT_EQ(requests.size(), 3U);
+  EXPECT_NE(requests[0].fingerprint, requests[1].fingerprint);
+  EXPECT_EQ(requests[0].fingerprint, requests[2].fingerprint);
+}
+
 }  // namespace
 }  // namespace bulrushshore
