Read a view that nothing confirms, and lead in place of a leader without one

Cause, one for both: no host knew how old its view was. Hosts that do not lead read possibly stale data and compared their view with the leader's. A leader that had lost the store went on publishing its own. A difference was acted on at the first two checks and at each eighth one; the count went on while changes followed one another.

Datagrams carry the age. Without a confirmed view in the zone a probe goes first, and the host that reads leads until one of lower rank confirms a view.

--- a/libraries/peers/host_registry.cc
+++ b/libraries/peers/host_registry.cc
@@ -367,6 +367,20 @@
   return !serving.empty() && serving.front()->entry.id == self_.id;
 }
 
+std::size_t host_registry::PlaceInZone() const {
+  return static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(), [this](const record_map::value_type& host) {
+        return !host.second.is_lost && !host.second.is_leaving &&
+               host.second.is_ready && IsAhead(host.first);
+      }));
+}
+
+bool host_registry::IsAhead(std::string_view id) const {
+  const auto found = hosts_.find(id);
+  return found != hosts_.end() && found->second.entry.zone == self_.zone &&
+         found->second.rank < hosts_.find(self_.id)->second.rank;
+}
+
 std::vector<const host_entry*> host_registry::ZoneNeighbours() const {
   std::vector<const host_entry*> neighbours = OtherHosts();
   std::erase_if(neighbours, [this](const host_entry* host) {
--- a/libraries/peers/host_registry.h
+++ b/libraries/peers/host_registry.h
@@ -128,6 +128,13 @@
   // Returns true if this host has the lowest rank of its zone's serving hosts.
   bool IsZoneLeader() const;
 
+  // Returns the number of hosts of this host's zone with a lower rank that
+  // could lead it.
+  std::size_t PlaceInZone() const;
+
+  // Returns true if the host is of this host's zone and has a lower rank.
+  bool IsAhead(std::string_view id) const;
+
   // Returns the other hosts of this host's zone.
   std::vector<const host_entry*> ZoneNeighbours() const;
 
--- a/libraries/peers/peer_agent.cc
+++ b/libraries/peers/peer_agent.cc
@@ -297,8 +297,8 @@
   events_.OnTargetLeaving(body);
 }
 
-void peer_agent::HandleBody(const std::string&, const host_view& body) {
-  events_.OnView(body);
+void peer_agent::HandleBody(const std::string& sender, const host_view& body) {
+  events_.OnView(sender, body);
 }
 
 void peer_agent::HandleBody(const std::string&, const suspicion_summary& body) {
--- a/libraries/peers/peer_agent.h
+++ b/libraries/peers/peer_agent.h
@@ -36,8 +36,8 @@
   // A host has announced itself; it may just have started.
   virtual void OnHostAnnounced(std::string_view host_id) = 0;
 
-  // The leader of the zone publishes which versions of the data it has.
-  virtual void OnView(const host_view& view) = 0;
+  // A host of the zone publishes which versions of the data it has.
+  virtual void OnView(std::string_view host_id, const host_view& view) = 0;
 
   // The leader of the zone publishes which targets it suspects.
   virtual void OnSuspicions(const suspicion_summary& summary) = 0;
--- a/libraries/peers/peer_datagram.cc
+++ b/libraries/peers/peer_datagram.cc
@@ -51,6 +51,8 @@
   void operator()(const host_view& body) const {
     fields.push_back(body.rules_version);
     fields.push_back(body.targets_digest);
+    fields.push_back(body.rules_age_ms);
+    fields.push_back(body.targets_age_ms);
   }
   void operator()(const target_leaving_report& body) const {
     fields.push_back(body.target_id);
@@ -141,6 +143,17 @@
   return report;
 }
 
+host_view ReadView(field_reader& reader) {
+  host_view view;
+  view.rules_version = reader.Unsigned();
+  view.targets_digest = reader.Unsigned();
+  if (reader.HasMore()) {
+    view.rules_age_ms = reader.Unsigned();
+    view.targets_age_ms = reader.Unsigned();
+  }
+  return view;
+}
+
 peer_body ReadBody(std::uint64_t type,
                    const std::string& sender,
                    field_reader& reader) {
@@ -177,10 +190,8 @@
     }
     case 6:
       return ReadTargetLoss(reader);
-    case 7: {
-      const std::uint64_t rules_version = reader.Unsigned();
-      return host_view{rules_version, reader.Unsigned()};
-    }
+    case 7:
+      return ReadView(reader);
     case 8: {
       suspicion_summary body;
       while (reader.HasMore()) {
--- a/libraries/peers/peer_datagram.h
+++ b/libraries/peers/peer_datagram.h
@@ -70,12 +70,19 @@
   bool operator==(const target_loss_report&) const = default;
 };
 
-// The versions of the data that the leader of a zone has. The other hosts of
-// the zone compare them with their own to detect that they no longer receive
-// updates from the store.
+// The versions of the data that the sender has, and how old each may be. Other
+// hosts of the zone that have the same versions need not read the store to know
+// that theirs are current.
 struct host_view {
+  // Age of a part that is not known to be current as of any time. Hosts of
+  // earlier versions send no ages.
+  static constexpr std::uint64_t kUnknownAge = ~std::uint64_t{0};
+
   std::uint64_t rules_version = 0;
   std::uint64_t targets_digest = 0;
+  // Time since the store had this version for certain, in milliseconds.
+  std::uint64_t rules_age_ms = kUnknownAge;
+  std::uint64_t targets_age_ms = kUnknownAge;
 
   bool operator==(const host_view&) const = default;
 };
--- a/libraries/targets/target_registry.cc
+++ b/libraries/targets/target_registry.cc
@@ -42,6 +42,7 @@
       entry.started_at_unix_ms < departed->second.started_at_unix_ms) {
     return {target_change_type::kOutdated, entry.id, entry.service};
   }
+  digest_.reset();
   const auto found = records_.find(entry.id);
   if (found == records_.end()) {
     record added;
@@ -97,6 +98,7 @@
   record& known = found->second;
   if (IsRestoring(now) && !known.entry.is_draining) {
     known.held_until = *restoring_until_;
+    digest_.reset();
     return target_change{target_change_type::kHeld, std::string(id),
                          known.entry.service};
   }
@@ -218,6 +220,9 @@
 }
 
 std::uint64_t target_registry::Digest() const {
+  if (digest_) {
+    return *digest_;
+  }
   std::uint64_t digest = 0;
   for (const record_map::value_type& item : records_) {
     if (item.second.held_until) {
@@ -230,6 +235,7 @@
                              (entry.is_draining ? "d" : "");
     digest ^= XXH3_64bits(text.data(), text.size());
   }
+  digest_ = digest;
   return digest;
 }
 
@@ -271,6 +277,7 @@
                           position->second.entry.address,
                           position->second.is_leaving};
   records_.erase(position);
+  digest_.reset();
   Rebuild(change.service);
   return change;
 }
--- a/libraries/targets/target_registry.h
+++ b/libraries/targets/target_registry.h
@@ -164,6 +164,8 @@
   usable_map usable_;
   std::uint64_t next_incarnation_ = 1;
   bool is_list_unavailable_ = false;
+  // Result of Digest(), if nothing that it depends on has changed since.
+  mutable std::optional<std::uint64_t> digest_;
   // End of the restore window, if the list has been readable since an outage.
   std::optional<time_point> restoring_until_;
 };
--- a/services/edge_daemon/edge_daemon.cc
+++ b/services/edge_daemon/edge_daemon.cc
@@ -14,12 +14,24 @@
 constexpr duration kMaintenanceInterval = std::chrono::milliseconds(500);
 constexpr duration kMinMaintenanceInterval = std::chrono::milliseconds(10);
 
-// The leader of a zone publishes its view at this interval and at each change.
+// The leader of a zone publishes its view when a read of the store has
+// confirmed it, and at this interval if none does.
 constexpr duration kViewInterval = std::chrono::seconds(1);
 
-// Hosts read a change at slightly different times, so that a difference is only
-// reported if it lasts longer than this.
-constexpr duration kViewCheckDelay = std::chrono::milliseconds(1000);
+// Delay after a confirmation, so that one datagram tells of both parts of the
+// view if they are confirmed at nearly the same time.
+constexpr duration kPublishDelay = std::chrono::milliseconds(20);
+
+// Age of a view that was never confirmed.
+constexpr duration kUnconfirmedAge = std::chrono::hours(1);
+
+// After the first two reads that have not led to the view of another host, only
+// every Nth one reads all objects.
+constexpr int kListReadInterval = 8;
+
+constexpr std::string_view PartName(view_part_name name) {
+  return name == view_part_name::kRules ? "rules" : "targets";
+}
 
 // Size limit of the targets in a leader's suspicion summary, so that the
 // datagram and its headers fit into one packet of 1,500 bytes.
@@ -57,7 +69,19 @@
       maintenance_timer_(loop),
       leave_timer_(loop),
       publish_timer_(loop),
-      view_timer_(loop) {}
+      view_timer_(loop),
+      rules_part_{
+          .name = view_part_name::kRules,
+          .part = {view_value_type::kVersion, time_.Now() - kUnconfirmedAge},
+          .requested_at = {},
+          .reads = 0},
+      targets_part_{
+          .name = view_part_name::kTargets,
+          .part = {view_value_type::kDigest, time_.Now() - kUnconfirmedAge},
+          .requested_at = {},
+          .reads = 0},
+      confirmed_by_others_at_(time_.Now()),
+      reads_from_(time_.Now() + options.view_age.start_allowance) {}
 
 status edge_daemon::Start() {
   status peers_started = peers_.Start();
@@ -72,6 +96,7 @@
   hosts_.SetReady(options_.self.id, false);
   OnHostsChanged();
   ScheduleMaintenance();
+  ScheduleReads();
   log_.Write(log_level::kInfo, "host_started",
              {{"host", options_.self.id},
               {"zone", options_.self.zone},
@@ -87,7 +112,7 @@
   log_.Write(log_level::kInfo, is_new ? "rules_applied" : "rules_outdated",
              {{"version", version}, {"routes", routes}});
   if (is_new) {
-    PublishView();
+    rules_part_.part.SetOwn(version);
     UpdateReadiness();
   }
 }
@@ -97,7 +122,7 @@
 }
 
 void edge_daemon::OnTargetChangesComplete() {
-  PublishView();
+  targets_part_.part.SetOwn(state_.targets().Digest());
 }
 
 void edge_daemon::RemoveTarget(std::string_view id) {
@@ -114,9 +139,7 @@
   for (const target_change& change : changes) {
     LogTargetChange(change);
   }
-  if (!changes.empty()) {
-    PublishView();
-  }
+  OnTargetChangesComplete();
   has_target_list_ = true;
   UpdateReadiness();
 }
@@ -194,6 +217,12 @@
       .Set(state_.rules()
                ? static_cast<std::int64_t>(state_.rules()->rules().version)
                : 0);
+  const time_point confirmed_at = std::min(rules_part_.part.confirmed_at(),
+                                           targets_part_.part.confirmed_at());
+  metrics_
+      .GetGauge("bulrush_view_age_ms",
+                "Time since rules and targets were confirmed to be current.")
+      .Set(ToMilliseconds(time_.Now() - confirmed_at).count());
   metrics_.GetGauge("bulrush_log_lines_dropped", "Log lines over the rate.")
       .Set(static_cast<std::int64_t>(log_.dropped()));
   metrics_
@@ -270,24 +299,50 @@
     peers_.Announce();
   }
   serves_when_ready_ = serves;
-  const bool leads = has_host_list_ && hosts_.IsZoneLeader() && !is_leaving_;
+  UpdateLeading();
+}
+
+void edge_daemon::UpdateLeading() {
+  const bool leads = has_host_list_ && !is_leaving_ &&
+                     (hosts_.IsZoneLeader() || leads_in_place_);
   if (leads == is_leading_) {
     return;
   }
   is_leading_ = leads;
-  leader_view_.reset();
+  log_.Write(log_level::kInfo, leads ? "leading" : "not_leading",
+             {{"zone", options_.self.zone}, {"in_place", leads_in_place_}});
   if (view_source_) {
     view_source_->SetLeading(leads);
   }
-  PublishView();
+  SchedulePublish(kPublishDelay);
 }
 
 host_view edge_daemon::OwnView() const {
-  return {state_.rules() ? state_.rules()->rules().version : 0,
-          state_.targets().Digest()};
+  const time_point now = time_.Now();
+  const auto age_ms = [now](const tracked_part& tracked) {
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(
+            now - tracked.part.confirmed_at())
+            .count());
+  };
+  return {.rules_version = rules_part_.part.own(),
+          .targets_digest = targets_part_.part.own(),
+          .rules_age_ms = age_ms(rules_part_),
+          .targets_age_ms = age_ms(targets_part_)};
+}
+
+void edge_daemon::SchedulePublish(duration delay) {
+  is_publish_due_soon_ = delay < kViewInterval;
+  publish_timer_.expires_after(delay);
+  publish_timer_.async_wait([this](const socket_error& error) {
+    if (!error) {
+      PublishView();
+    }
+  });
 }
 
 void edge_daemon::PublishView() {
+  is_publish_due_soon_ = false;
   if (!is_leading_ || is_leaving_) {
     return;
   }
@@ -295,12 +350,7 @@
     peers_.PublishView(OwnView());
     PublishSuspicions();
   });
-  publish_timer_.expires_after(kViewInterval);
-  publish_timer_.async_wait([this](const socket_error& error) {
-    if (!error) {
-      PublishView();
-    }
-  });
+  SchedulePublish(kViewInterval);
 }
 
 void edge_daemon::PublishSuspicions() {
@@ -336,51 +386,134 @@
   }
 }
 
-void edge_daemon::OnView(const host_view& view) {
-  leader_view_ = view;
-  if (view == OwnView()) {
-    differing_checks_ = 0;
+void edge_daemon::OnView(std::string_view host_id, const host_view& view) {
+  if (view.rules_age_ms == host_view::kUnknownAge ||
+      view.targets_age_ms == host_view::kUnknownAge) {
     return;
   }
-  ScheduleViewCheck();
+  // Limits a value that would not fit into a time.
+  constexpr std::uint64_t kMaxAgeMs = 3'600'000;
+  const std::chrono::milliseconds rules_age(
+      std::min(view.rules_age_ms, kMaxAgeMs));
+  const std::chrono::milliseconds targets_age(
+      std::min(view.targets_age_ms, kMaxAgeMs));
+  OnHeard(rules_part_, view.rules_version, rules_age);
+  OnHeard(targets_part_, view.targets_digest, targets_age);
+  confirmed_by_others_at_ = std::max(
+      confirmed_by_others_at_, time_.Now() - std::max(rules_age, targets_age));
+  if (leads_in_place_ && !IsZoneUnconfirmed() && hosts_.IsAhead(host_id)) {
+    leads_in_place_ = false;
+    UpdateLeading();
+  }
 }
 
-void edge_daemon::ScheduleViewCheck() {
-  if (is_view_check_due_) {
-    return;
+edge_daemon::tracked_part& edge_daemon::PartOf(view_part_name name) {
+  return name == view_part_name::kRules ? rules_part_ : targets_part_;
+}
+
+void edge_daemon::OnHeard(tracked_part& tracked,
+                          std::uint64_t value,
+                          duration age) {
+  tracked.part.OnHeard(value, time_.Now() - age);
+  if (!IsReadDue(tracked.name)) {
+    tracked.reads = 0;
+    OnConfirmed(tracked);
   }
-  is_view_check_due_ = true;
-  view_timer_.expires_after(kViewCheckDelay);
+}
+
+void edge_daemon::OnRead(view_part_name part,
+                         time_point as_of,
+                         bool is_complete_list) {
+  tracked_part& tracked = PartOf(part);
+  tracked.part.OnRead(as_of, is_complete_list);
+  OnConfirmed(tracked);
+  if (!is_leading_ && IsZoneUnconfirmed() && IsReady()) {
+    leads_in_place_ = true;
+    UpdateLeading();
+  }
+  if (is_leading_ && !is_publish_due_soon_) {
+    SchedulePublish(kPublishDelay);
+  }
+}
+
+void edge_daemon::OnConfirmed(tracked_part& tracked) {
+  tracked.requested_at.reset();
+  if (std::exchange(tracked.is_reported, false)) {
+    LogOldPart(tracked, log_level::kInfo, "view_confirmed");
+  }
+}
+
+bool edge_daemon::IsZoneUnconfirmed() const {
+  return time_.Now() - confirmed_by_others_at_ >= options_.view_age.max_age;
+}
+
+bool edge_daemon::IsReadDue(view_part_name part) const {
+  const tracked_part& tracked =
+      part == view_part_name::kRules ? rules_part_ : targets_part_;
+  return time_.Now() - tracked.part.confirmed_at() >= options_.view_age.max_age;
+}
+
+time_point edge_daemon::ReadDueAt(const tracked_part& tracked) const {
+  const view_age_options& limits = options_.view_age;
+  const duration delay = std::min(
+      limits.max_delay,
+      limits.delay_per_place * static_cast<std::int64_t>(hosts_.PlaceInZone()));
+  const time_point due = std::max(
+      reads_from_, tracked.part.confirmed_at() + limits.max_age + delay);
+  return tracked.requested_at
+             ? std::max(due, *tracked.requested_at + limits.retry_interval)
+             : due;
+}
+
+void edge_daemon::ScheduleReads() {
+  const time_point now = time_.Now();
+  const time_point due =
+      IsReady() ? std::min(ReadDueAt(rules_part_), ReadDueAt(targets_part_))
+                : now + options_.view_age.max_age;
+  view_timer_.expires_at(std::max(due, now + kMinMaintenanceInterval));
   view_timer_.async_wait([this](const socket_error& error) {
     if (!error) {
-      CheckView();
+      (void)RunGuarded("view age", [this] { ReadOldParts(); });
+      ScheduleReads();
     }
   });
 }
 
-void edge_daemon::CheckView() {
-  is_view_check_due_ = false;
-  if (!leader_view_ || *leader_view_ == OwnView() || is_leading_) {
-    differing_checks_ = 0;
+void edge_daemon::LogOldPart(const tracked_part& tracked,
+                             log_level level,
+                             std::string_view event) {
+  log_.Write(
+      level, event,
+      {{"part", PartName(tracked.name)},
+       {"age_ms",
+        ToMilliseconds(time_.Now() - tracked.part.confirmed_at()).count()},
+       {"reads", tracked.reads},
+       {"own", tracked.part.own()}});
+}
+
+void edge_daemon::ReadOldParts() {
+  const time_point now = time_.Now();
+  if (!IsReady() || !view_source_) {
     return;
   }
-  // Restart the count for another version of the leader's rules: a measure that
-  // did not resolve the older difference may resolve this one.
-  if (checked_version_ != leader_view_->rules_version) {
-    checked_version_ = leader_view_->rules_version;
-    differing_checks_ = 0;
-  }
-  ++differing_checks_;
-  log_.Write(log_level::kInfo, "view_differs",
-             {{"check", differing_checks_},
-              {"own_rules_version", OwnView().rules_version},
-              {"leader_rules_version", leader_view_->rules_version}});
-  if (view_source_) {
-    const host_view own = OwnView();
-    view_source_->OnViewDiffers(
-        {.is_in_rules = own.rules_version != leader_view_->rules_version,
-         .is_in_targets = own.targets_digest != leader_view_->targets_digest,
-         .checks = differing_checks_});
+  for (tracked_part* tracked : {&rules_part_, &targets_part_}) {
+    if (now < ReadDueAt(*tracked)) {
+      continue;
+    }
+    if (!tracked->requested_at) {
+      ++tracked->reads;
+      LogOldPart(*tracked, log_level::kInfo, "view_read");
+    } else if (!tracked->is_reported) {
+      // The store did not answer the request before.
+      tracked->is_reported = true;
+      LogOldPart(*tracked, log_level::kWarning, "view_unconfirmed");
+    }
+    tracked->requested_at = now;
+    view_source_->ReadCurrent(
+        {.part = tracked->name,
+         .is_list =
+             tracked->reads == 2 || tracked->reads % kListReadInterval == 0,
+         .is_store_doubtful = !is_leading_ && IsZoneUnconfirmed()});
   }
 }
 
--- a/tests/peers/host_registry_test.cc
+++ b/tests/peers/host_registry_test.cc
@@ -380,6 +380,35 @@
   EXPECT_TRUE(registry_.IsLost(unready));
 }
 
+// Guards against hosts of a zone that read the store at the same time: each has
+// a place of its own among those that respond.
+TEST_F(HostRegistryTest, HostsOfAZoneHaveDifferentPlaces) {
+  std::set<std::size_t> places;
+  for (int number = 1; number <= kHostsPerZone; ++number) {
+    seeded_random random(1);
+    host_registry own(MakeHost("a", number), random, kThreePerZone);
+    for (int other = 1; other <= kHostsPerZone; ++other) {
+      own.Add(MakeHost("a", other));
+      own.Add(MakeHost("b", other));
+    }
+    places.insert(own.PlaceInZone());
+    EXPECT_EQ(own.PlaceInZone() == 0, own.IsZoneLeader());
+    EXPECT_FALSE(own.IsAhead(own.self().id));
+    EXPECT_FALSE(own.IsAhead("b-1"));
+    EXPECT_FALSE(own.IsAhead("unknown"));
+    std::size_t ahead = 0;
+    for (const host_entry* host : own.OtherHosts()) {
+      ahead += own.IsAhead(host->id) ? 1 : 0;
+    }
+    EXPECT_EQ(ahead, own.PlaceInZone());
+    for (const host_entry* host : own.OtherHosts()) {
+      own.OnReportedLost(host->id, kStart);
+    }
+    EXPECT_EQ(own.PlaceInZone(), 0U);
+  }
+  EXPECT_EQ(places.size(), std::size_t{kHostsPerZone});
+}
+
 TEST_F(HostRegistryTest, EachZoneHasOneLeader) {
   int leaders = 0;
   for (int number = 1; number <= kHostsPerZone; ++number) {
--- a/tests/targets/target_registry_test.cc
+++ b/tests/targets/target_registry_test.cc
@@ -188,5 +188,25 @@
   EXPECT_NE(registry_.Digest(), other.Digest());
 }
 
+// Guards against a digest that is computed once and kept after a change.
+TEST_F(TargetRegistryTest, DigestFollowsEachChange) {
+  registry_.Apply(MakeEntry("t1"), kStart);
+  const std::uint64_t one = registry_.Digest();
+  registry_.Apply(MakeEntry("t2"), kStart);
+  const std::uint64_t two = registry_.Digest();
+  EXPECT_NE(two, one);
+  registry_.Remove("t2", kStart);
+  EXPECT_EQ(registry_.Digest(), one);
+  const std::vector<target_entry> both{MakeEntry("t1"), MakeEntry("t2")};
+  registry_.Replace(both, kStart);
+  EXPECT_EQ(registry_.Digest(), two);
+  registry_.OnListUnavailable();
+  registry_.OnListAvailable(kStart);
+  registry_.Remove("t2", kStart);
+  EXPECT_EQ(registry_.Digest(), one) << "held targets do not count";
+  registry_.Apply(MakeEntry("t2"), kStart);
+  EXPECT_EQ(registry_.Digest(), two);
+}
+
 }  // namespace
 }  // namespace bulrushshore
