Ask whether a connection is gone before its end completes a response

Cause: the decision relied on the order of two completions. The write meets ECONNRESET and queues its completion behind the event of the lost connection, whose read returns an end of stream; at that moment no error of the write is known.

Change: if a read ends while a write is in progress and the system has ended the connection, the decision waits for the outcome of the write. An end on a connection that is still open for writing is the peer's and completes at once.

--- a/libraries/event_loop/http_connection.cc
+++ b/libraries/event_loop/http_connection.cc
@@ -54,6 +54,7 @@
   is_reusable_ = false;
   idle_lost_ = nullptr;
   foreign_responses_ = 0;
+  awaits_send_outcome_ = false;
   is_head_ = request.method == "HEAD";
   outgoing_ = SerializeRequest(request);
   is_expected_ = std::move(is_expected);
@@ -118,6 +119,13 @@
           self->send_failure_ = error;
           self->is_reusable_ = false;
         }
+        if (std::exchange(self->awaits_send_outcome_, false)) {
+          const bool is_handled = RunGuarded(
+              "response", [&] { self->OnReadEnded(asio::error::eof); });
+          if (!is_handled) {
+            self->FailGuarded();
+          }
+        }
       });
 }
 
@@ -164,6 +172,19 @@
     Receive();
     return;
   }
+  if (error == asio::error::eof && is_sending_ && IsConnectionGone(socket_)) {
+    // The write has met the loss of the connection as well, but its completion
+    // may be queued behind this one.
+    awaits_send_outcome_ = true;
+    return;
+  }
+  OnReadEnded(error);
+}
+
+void http_connection::OnReadEnded(const socket_error& error) {
+  if (!done_) {
+    return;
+  }
   if (IsEndOfPeer(error) && reader_.HasStarted() &&
       reader_.FinishAtEnd() == response_read_state::kComplete) {
     received_response received = reader_.TakeResponse();
@@ -180,7 +201,9 @@
 bool http_connection::IsEndOfPeer(const socket_error& read_error) const {
   // The system reports the loss of a connection once. If the write meets it,
   // the next read returns an end of stream that the peer did not send. A write
-  // behind an end that the peer did send fails with broken_pipe.
+  // behind an end that the peer did send fails with broken_pipe. A connection
+  // that is still open while the write goes on was not reset, so the end is the
+  // peer's.
   return read_error == asio::error::eof &&
          (!send_failure_ || send_failure_ == asio::error::broken_pipe);
 }
@@ -266,6 +289,7 @@
   idle_lost_ = nullptr;
   is_reusable_ = false;
   is_busy_ = false;
+  awaits_send_outcome_ = false;
   ReturnBufferedBytes();
   connect_timer_.cancel();
   socket_error ignored;  // The socket is given up whatever its state.
--- a/libraries/event_loop/http_connection.h
+++ b/libraries/event_loop/http_connection.h
@@ -84,7 +84,10 @@
   void Send();
   void Receive();
   void OnReceived(const socket_error& error, std::size_t size);
+  // Ends the exchange after the read has failed.
+  void OnReadEnded(const socket_error& error);
   // Returns true if the peer ended its side of the connection in order.
+  // Precondition: no write is in progress unless the connection is still open.
   bool IsEndOfPeer(const socket_error& read_error) const;
   bool TakeExpectedResponse(response_read_state state);
   // Accounts for the bytes that the reader holds. Returns false if they exceed
@@ -119,6 +122,9 @@
   bool was_connected_ = false;
   bool is_receiving_ = false;
   bool is_sending_ = false;
+  // The read has met an end of stream on a connection that is gone, and the
+  // outcome of the write will tell whether the peer sent that end.
+  bool awaits_send_outcome_ = false;
 };
 
 }  // namespace bulrushshore
--- a/libraries/event_loop/socket_options.cc
+++ b/libraries/event_loop/socket_options.cc
@@ -63,6 +63,15 @@
   return OkStatus();
 }
 
+bool IsConnectionGone(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return socket.is_open() &&
+         getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
   int bytes = 0;
   if (!socket.is_open() ||
--- a/libraries/event_loop/socket_options.h
+++ b/libraries/event_loop/socket_options.h
@@ -34,6 +34,12 @@
 // sockets.
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
 
+// Returns true if the system has ended the connection in both directions, as it
+// does when the peer resets it; false if it has not or doesn't tell. After an
+// end of stream alone, the connection is still open for writing. Thread safe
+// for unshared sockets.
+bool IsConnectionGone(boost::asio::ip::tcp::socket& socket);
+
 // Opens, binds and listens. Thread safe.
 result<boost::asio::ip::tcp::acceptor> ListenOn(boost::asio::io_context& loop,
                                                 const endpoint& address);
