Play resets at different times against the real program

Change: early_target takes the pause, and BrokenResponseProcessTest sends the requests of several callers at once. The forms that existed are unchanged.

--- a/tests/gateway/early_target.cc
+++ b/tests/gateway/early_target.cc
@@ -1,7 +1,6 @@
 #include "tests/gateway/early_target.h"
 
 #include <array>
-#include <chrono>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -10,16 +9,10 @@
 #include "libraries/event_loop/socket_options.h"
 
 namespace bulrushshore {
-namespace {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-// Time between the response and the end of its connection.
-constexpr std::chrono::milliseconds kPause{20};
-
-}  // namespace
-
 struct early_target::connection {
   explicit connection(tcp::socket accepted)
       : socket(std::move(accepted)), timer(socket.get_executor()) {}
@@ -31,9 +24,11 @@
 
 early_target::early_target(asio::io_context& loop,
                            std::string response,
-                           connection_end end)
+                           connection_end end,
+                           std::chrono::milliseconds pause)
     : response_(std::move(response)),
       end_(end),
+      pause_(pause),
       acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
   Accept();
 }
@@ -75,7 +70,11 @@
         if (failure) {
           return;
         }
-        peer->timer.expires_after(kPause);
+        if (pause_ == std::chrono::milliseconds::zero()) {
+          End(peer);
+          return;
+        }
+        peer->timer.expires_after(pause_);
         peer->timer.async_wait([this, peer](const socket_error& cancelled) {
           if (!cancelled) {
             End(peer);
--- a/tests/gateway/early_target.h
+++ b/tests/gateway/early_target.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_GATEWAY_EARLY_TARGET_H_
 #define TESTS_GATEWAY_EARLY_TARGET_H_
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,10 +27,14 @@
 // safe.
 class early_target {
  public:
+  // Time between the response and the end of its connection.
+  static constexpr std::chrono::milliseconds kUsualPause{20};
+
   // Listens on a free port. Precondition: `loop` outlives this object.
   early_target(boost::asio::io_context& loop,
                std::string response,
-               connection_end end);
+               connection_end end,
+               std::chrono::milliseconds pause = kUsualPause);
   ~early_target();
   early_target(const early_target&) = delete;
   early_target& operator=(const early_target&) = delete;
@@ -46,6 +51,7 @@
 
   const std::string response_;
   const connection_end end_;
+  const std::chrono::milliseconds pause_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<connection>> connections_;
 };
--- a/tests/platform/broken_response_process_test.cc
+++ b/tests/platform/broken_response_process_test.cc
@@ -1,8 +1,10 @@
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -34,11 +36,18 @@
 
 constexpr std::size_t kLongUpload = std::size_t{8} << 20;
 constexpr std::size_t kShortUpload = 3;
-constexpr int kRequests = 16;
 constexpr milliseconds kStartTime{15'000};
 constexpr milliseconds kRequestTime{5000};
 constexpr char kWholeBody[] = "whole body";
 
+// Number of requests of each test. BROKEN_RESPONSE_REQUESTS sets another one
+// for longer plays by hand.
+int RequestCount() {
+  constexpr int kUsualRequests = 16;
+  const char* const text = std::getenv("BROKEN_RESPONSE_REQUESTS");
+  return text ? std::atoi(text) : kUsualRequests;
+}
+
 std::string SignedHead(std::string_view status_and_fields) {
   return "HTTP/1.1 " + std::string(status_and_fields) + "\r\n" +
          std::string(platform_names::kAttemptIdHeader) + ": 1\r\n" +
@@ -51,10 +60,15 @@
   connection_end end;
   std::size_t upload_bytes;
   int expected_status;
+  milliseconds pause = early_target::kUsualPause;
+  // Number of callers that send a request at the same time.
+  int callers = 1;
 };
 
 void PrintTo(const target_response& response, std::ostream* out) {
-  *out << response.name;
+  *out << response.name << ", upload of " << response.upload_bytes
+       << " bytes, pause of " << response.pause.count() << " ms, "
+       << response.callers << " callers";
 }
 
 // Runs the program with a store and targets that respond to the first bytes of
@@ -67,8 +81,9 @@
       : folder_(std::filesystem::temp_directory_path() /
                 ("broken_response_test_" + std::to_string(getpid()))) {
     std::filesystem::create_directories(folder_);
-    for (int request = 0; request < kRequests; ++request) {
-      AddTarget(std::to_string(request), GetParam().bytes, GetParam().end);
+    for (int request = 0; request < RequestCount(); ++request) {
+      AddTarget(std::to_string(request), GetParam().bytes, GetParam().end,
+                GetParam().pause);
     }
     AddTarget("sound",
               SignedHead("200 OK\r\nContent-Length: 0\r\nConnection: close"),
@@ -101,8 +116,10 @@
 
   void AddTarget(const std::string& name,
                  const std::string& response,
-                 connection_end end) {
-    targets_.push_back(std::make_unique<early_target>(loop_, response, end));
+                 connection_end end,
+                 milliseconds pause = early_target::kUsualPause) {
+    targets_.push_back(
+        std::make_unique<early_target>(loop_, response, end, pause));
     store_.Put(platform_names::kTargetKind, "target-" + name,
                {{"service", "service-" + name},
                 {"address", FormatEndpoint(targets_.back()->address())},
@@ -130,51 +147,89 @@
     }
   }
 
-  // Returns the host's response, or one with status 0 if there is none.
-  proxy_response Ask(const std::string& name, std::size_t upload_bytes) {
-    tcp::socket caller(loop_);
+  // A request of a caller and what it has received.
+  struct caller_request {
+    explicit caller_request(asio::io_context& loop) : socket(loop) {
+      reader.Start(false);
+    }
+
+    bool IsDone() const {
+      return is_ended || state != response_read_state::kIncomplete;
+    }
+
+    tcp::socket socket;
+    std::string bytes;
+    response_reader reader{kLongUpload};
+    response_read_state state = response_read_state::kIncomplete;
+    bool is_ended = false;
+    std::array<char, 4096> buffer{};
+  };
+
+  std::shared_ptr<caller_request> StartRequest(const std::string& name,
+                                               std::size_t upload_bytes) {
+    const std::shared_ptr<caller_request> started =
+        std::make_shared<caller_request>(loop_);
     socket_error failure;
     const endpoint address = host_->caller_address();
-    caller.connect({asio::ip::make_address(address.ip), address.port}, failure);
-    if (failure) {
-      return {};
-    }
-    const std::string request =
+    started->socket.connect({asio::ip::make_address(address.ip), address.port},
+                            failure);
+    started->is_ended = failure.failed();
+    started->bytes =
         "POST /" + name + "/ HTTP/1.1\r\nHost: h\r\n" +
         std::string(platform_names::kAttemptIdHeader) + ": 1\r\n" +
         std::string(platform_names::kDeadlineHeader) +
         ": 4000\r\nContent-Length: " + std::to_string(upload_bytes) +
         "\r\n\r\n" + std::string(upload_bytes, 'u');
-    asio::async_write(caller, asio::buffer(request),
-                      [](const socket_error&, std::size_t) {});
-    response_reader reader(kLongUpload);
-    reader.Start(false);
-    response_read_state state = response_read_state::kIncomplete;
-    bool is_ended = false;
-    std::array<char, 4096> buffer{};
-    std::function<void()> read_more = [&] {
-      caller.async_read_some(asio::buffer(buffer),
-                             [&](const socket_error& error, std::size_t size) {
-                               if (error) {
-                                 is_ended = true;
-                                 return;
-                               }
-                               state = reader.Feed({buffer.data(), size});
-                               if (state == response_read_state::kIncomplete) {
-                                 read_more();
-                               }
-                             });
-    };
-    read_more();
+    asio::async_write(started->socket, asio::buffer(started->bytes),
+                      [started](const socket_error&, std::size_t) {});
+    ReadResponse(started);
+    return started;
+  }
+
+  static void ReadResponse(const std::shared_ptr<caller_request>& request) {
+    request->socket.async_read_some(
+        asio::buffer(request->buffer),
+        [request](const socket_error& error, std::size_t size) {
+          if (error) {
+            request->is_ended = true;
+            return;
+          }
+          request->state = request->reader.Feed({request->buffer.data(), size});
+          if (!request->IsDone()) {
+            ReadResponse(request);
+          }
+        });
+  }
+
+  // Sends a request to each of the routes at the same time. Returns the host's
+  // responses, with status 0 for those that did not come.
+  std::vector<proxy_response> AskAll(const std::vector<std::string>& names,
+                                     std::size_t upload_bytes) {
+    std::vector<std::shared_ptr<caller_request>> requests;
+    for (const std::string& name : names) {
+      requests.push_back(StartRequest(name, upload_bytes));
+    }
     RunUntil(
-        [&] { return is_ended || state != response_read_state::kIncomplete; },
+        [&requests] {
+          return std::all_of(requests.begin(), requests.end(),
+                             [](const std::shared_ptr<caller_request>& made) {
+                               return made->IsDone();
+                             });
+        },
         kRequestTime);
-    caller.close(failure);
-    // Completes the calls that refer to local variables.
-    loop_.poll();
-    return state == response_read_state::kComplete
-               ? reader.TakeResponse().response
-               : proxy_response{};
+    std::vector<proxy_response> responses;
+    for (const std::shared_ptr<caller_request>& made : requests) {
+      socket_error ignored;
+      made->socket.close(ignored);
+      responses.push_back(made->state == response_read_state::kComplete
+                              ? made->reader.TakeResponse().response
+                              : proxy_response{});
+    }
+    return responses;
+  }
+
+  proxy_response Ask(const std::string& name, std::size_t upload_bytes) {
+    return AskAll({name}, upload_bytes)[0];
   }
 
   void WaitUntilItServes() {
@@ -196,12 +251,19 @@
 // Guards against a broken response that reaches a caller of the real program.
 TEST_P(BrokenResponseProcessTest, ACallerGetsAWholeResponseOrAnError) {
   WaitUntilItServes();
-  for (int request = 0; request < kRequests; ++request) {
-    const proxy_response response =
-        Ask(std::to_string(request), GetParam().upload_bytes);
-    EXPECT_EQ(response.status, GetParam().expected_status) << request;
-    if (response.status == 200) {
-      EXPECT_EQ(response.body, kWholeBody) << request;
+  for (int first = 0; first < RequestCount(); first += GetParam().callers) {
+    std::vector<std::string> names;
+    for (int request = first;
+         request < std::min(RequestCount(), first + GetParam().callers);
+         ++request) {
+      names.push_back(std::to_string(request));
+    }
+    for (const proxy_response& response :
+         AskAll(names, GetParam().upload_bytes)) {
+      EXPECT_EQ(response.status, GetParam().expected_status) << first;
+      if (response.status == 200) {
+        EXPECT_EQ(response.body, kWholeBody) << first;
+      }
     }
   }
 }
@@ -230,5 +292,26 @@
                         SignedHead("200 OK\r\nBad\x01Name: x") + kWholeBody,
                         connection_end::kHalfClose, kShortUpload, 502}));
 
+// The reset of a response without a length, at different times after the part
+// that was sent, for uploads that are complete by then and that are not.
+std::vector<target_response> Resets() {
+  constexpr int kManyCallers = 16;
+  std::vector<target_response> resets;
+  for (const milliseconds pause :
+       {milliseconds(0), milliseconds(50), milliseconds(600)}) {
+    for (const std::size_t upload : {kShortUpload, kLongUpload}) {
+      for (const int callers : {1, kManyCallers}) {
+        resets.push_back({"reset", SignedHead("200 OK") + "part",
+                          connection_end::kReset, upload, 502, pause, callers});
+      }
+    }
+  }
+  return resets;
+}
+
+INSTANTIATE_TEST_SUITE_P(Resets,
+                         BrokenResponseProcessTest,
+                         testing::ValuesIn(Resets()));
+
 }  // namespace
 }  // namespace bulrushshore
