--- a/tests/platform/broken_response_process_test.cc
+++ b/tests/platform/broken_response_process_test.cc
@@ -167,7 +167,7 @@
 
   std::shared_ptr<caller_request> StartRequest(const std::string& name,
                                                std::size_t upload_bytes) {
-    const std::shared_ptr<caller_request> started =
+    std::shared_ptr<caller_request> started =
         std::make_shared<caller_request>(loop_);
     socket_error failure;
     const endpoint address = host_->caller_address();
@@ -206,6 +206,7 @@
   std::vector<proxy_response> AskAll(const std::vector<std::string>& names,
                                      std::size_t upload_bytes) {
     std::vector<std::shared_ptr<caller_request>> requests;
+    requests.reserve(names.size());
     for (const std::string& name : names) {
       requests.push_back(StartRequest(name, upload_bytes));
     }
@@ -218,6 +219,7 @@
         },
         kRequestTime);
     std::vector<proxy_response> responses;
+    responses.reserve(requests.size());
     for (const std::shared_ptr<caller_request>& made : requests) {
       socket_error ignored;
       made->socket.close(ignored);
