--- a/review/stand_ins_3/client.h
+++ b/review/stand_ins_3/client.h
@@ -50,7 +50,8 @@
   // Sends no further requests.
   void Stop() { is_stopping_ = true; }
   void SetBodyBytes(std::size_t size) { plan_.body_bytes = size; }
-  bool IsWaiting() const { return is_waiting_; }
+  // While it is held, a client asks where to connect and sends no requests.
+  void SetHeld(bool is_held) { is_held_ = is_held; }
 
  private:
   void ScheduleNext();
@@ -72,7 +73,7 @@
   time_point resolve_at_;
   int sent_ = 0;
   bool is_stopping_ = false;
-  bool is_waiting_ = false;
+  bool is_held_ = false;
 };
 
 }  // namespace bulrushshore::review
--- a/review/stand_ins_3/main.cc
+++ b/review/stand_ins_3/main.cc
@@ -24,7 +24,7 @@
   static const std::map<std::string, named_scenario> scenarios = {
       {"change_after_start", {bulrushshore::review::PlayChangeAfterStart, 2}},
       {"cut_watch", {bulrushshore::review::PlayCutWatch, 2}},
-      {"large_bodies", {bulrushshore::review::PlayLargeBodies, 2}},
+      {"limits_after_start", {bulrushshore::review::PlayLimitsAfterStart, 2}},
   };
   return scenarios;
 }
--- a/review/stand_ins_3/scenarios.h
+++ b/review/stand_ins_3/scenarios.h
@@ -8,7 +8,7 @@
 // Each plays one case and returns how often its rule was broken.
 int PlayChangeAfterStart(fleet& played);
 int PlayCutWatch(fleet& played);
-int PlayLargeBodies(fleet& played);
+int PlayLimitsAfterStart(fleet& played);
 
 }  // namespace bulrushshore::review
 
