--- a/review/stand_ins_3/configuration_scenarios.cc
+++ b/review/stand_ins_3/configuration_scenarios.cc
@@ -69,4 +69,29 @@
   return broken;
 }
 
+int PlayCutWatchOfConfiguration(fleet& played) {
+  constexpr int kRounds = 8;
+  std::vector<acknowledged_service> history;
+  ChangeService(played, history);
+  AddServices(played);
+  played.Start();
+  played.store().SetWatchStaleness(kStaleness);
+  AddClients(played);
+  played.Run(milliseconds(5000));
+  int broken = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    const time_point from = played.Now();
+    if (played.options().has_trouble) {
+      const std::size_t cut = played.relay().CutWaitingStaleWatches();
+      played.record().Note("the store cuts off " + std::to_string(cut) +
+                           " waiting watches");
+    }
+    played.Run(milliseconds(200));
+    ChangeService(played, history);
+    played.Run(kStaleness + milliseconds(4000));
+    broken += CountOldRuns(played, history, from);
+  }
+  return broken;
+}
+
 }  // namespace bulrushshore::review
--- a/review/stand_ins_3/main.cc
+++ b/review/stand_ins_3/main.cc
@@ -23,6 +23,8 @@
 const std::map<std::string, named_scenario>& Scenarios() {
   static const std::map<std::string, named_scenario> scenarios = {
       {"change_after_start", {bulrushshore::review::PlayChangeAfterStart, 2}},
+      {"cut_watch_of_configuration",
+       {bulrushshore::review::PlayCutWatchOfConfiguration, 2}},
       {"cut_watch", {bulrushshore::review::PlayCutWatch, 2}},
       {"limits_after_start", {bulrushshore::review::PlayLimitsAfterStart, 2}},
   };
--- a/review/stand_ins_3/scenarios.h
+++ b/review/stand_ins_3/scenarios.h
@@ -7,6 +7,7 @@
 
 // Each plays one case and returns how often its rule was broken.
 int PlayChangeAfterStart(fleet& played);
+int PlayCutWatchOfConfiguration(fleet& played);
 int PlayCutWatch(fleet& played);
 int PlayLimitsAfterStart(fleet& played);
 
